--- /dev/null
+++ b/cmd/simhost/fleet.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"robinmast/internal/simwire"
+	"robinmast/rules"
+)
+
+// outcomes maps the wire's outcome codes.
+var outcomes = map[byte]rules.Outcome{
+	0: rules.OK, 255: rules.Failed, 254: rules.Full, 253: rules.TimedOut,
+	252: rules.ConnectFailed, 251: rules.Reset, 250: rules.Cancelled, 249: rules.Moot,
+}
+
+// instance is one node: its module and what it did in the present batch.
+// Its module is nil once its code has failed.
+type instance struct {
+	who     uint16
+	module  *rules.Module
+	actions simwire.Actions
+	gauges  []float64
+	touched bool
+}
+
+// fleet holds the instances of this process, which share nothing.
+type fleet struct {
+	nodes map[uint16]*instance
+	order []*instance // touched in this batch, in order
+	reply simwire.Reply
+}
+
+func newFleet() *fleet { return &fleet{nodes: map[uint16]*instance{}} }
+
+// answer applies a batch and returns the reply to write.
+func (f *fleet) answer(b simwire.Batch) (*simwire.Reply, error) {
+	f.order = f.order[:0]
+	f.reply.Reset()
+	var who uint16
+	var addressed bool
+	for i := range b.Count {
+		rec := b.Record(i)
+		if rec.Code() == simwire.EvAt {
+			who, addressed = rec.U16(1), true
+			continue
+		}
+		if !addressed {
+			return nil, fmt.Errorf("event code %d before any At", rec.Code())
+		}
+		if err := f.event(b, who, rec); err != nil {
+			return nil, err
+		}
+	}
+	for _, n := range f.order {
+		if !n.touched { // its process ended within the batch
+			continue
+		}
+		n.guard(func() error { n.module.Settle(b.Clock); return nil })
+		f.reply.Add(n.who, &n.actions)
+		n.actions.Reset()
+		n.touched = false
+	}
+	return &f.reply, nil
+}
+
+// event hands one event record to its instance.
+func (f *fleet) event(b simwire.Batch, who uint16, rec simwire.Record) error {
+	n := f.nodes[who]
+	switch code := rec.Code(); {
+	case code < simwire.EvEnlist || code > simwire.EvDemand:
+		return fmt.Errorf("unknown event code %d", code)
+	case code == simwire.EvEnlist:
+		if n != nil {
+			n.touched = false
+		}
+		return f.start(b, who, rec)
+	case n == nil:
+		return fmt.Errorf("event code %d for instance %d, which was never started", code, who)
+	case code == simwire.EvExit:
+		n.touched = false
+		delete(f.nodes, who)
+		return nil
+	}
+	f.touch(n)
+	n.guard(func() error { return n.event(b, rec) })
+	return nil
+}
+
+func (f *fleet) touch(n *instance) {
+	if !n.touched {
+		n.touched = true
+		f.order = append(f.order, n)
+	}
+}
+
+// start makes the instance that an Enlist asks for.
+func (f *fleet) start(b simwire.Batch, who uint16, rec simwire.Record) error {
+	text, err := b.Tail(rec, 9)
+	if err != nil {
+		return fmt.Errorf("settings of instance %d: %w", who, err)
+	}
+	n := &instance{who: who}
+	f.nodes[who] = n
+	f.touch(n)
+	n.build(func() error {
+		settings, err := simwire.ParseSettings(text)
+		if err != nil {
+			return err
+		}
+		n.module, err = rules.New(b.Clock, settings, rec.U64(1), &host{&n.actions})
+		return err
+	})
+	return nil
+}
+
+// guard runs code of a live module; an error or a panic ends the instance.
+func (n *instance) guard(run func() error) {
+	if n.module != nil {
+		n.build(run)
+	}
+}
+
+func (n *instance) build(run func() error) {
+	defer func() {
+		if p := recover(); p != nil {
+			n.fault(fmt.Sprintf("panic: %v", p))
+		}
+	}()
+	if err := run(); err != nil {
+		n.fault(err.Error())
+	}
+}
+
+// fault reports that this instance's code has failed, and nothing else.
+func (n *instance) fault(text string) {
+	n.module = nil
+	n.actions.Reset()
+	n.actions.Text(simwire.AcInternalError, text)
+}
+
+// event maps one event to the module's method.
+func (n *instance) event(b simwire.Batch, rec simwire.Record) error {
+	now, m, id := b.Clock, n.module, rules.RequestID(rec.U64(1))
+	switch rec.Code() {
+	case simwire.EvDemand:
+		m.Arrive(now, demand(rec))
+	case simwire.EvEnded:
+		o, ok := outcomes[rec.U8(17)]
+		if !ok {
+			return fmt.Errorf("unknown outcome code %d", rec.U8(17))
+		}
+		m.Ended(now, id, o, rec.Time(9))
+	case simwire.EvAtCall:
+		m.NeedsCall(now, id)
+	case simwire.EvCameBack:
+		o, ok := outcomes[rec.U8(9)]
+		if !ok {
+			return fmt.Errorf("unknown outcome code %d", rec.U8(9))
+		}
+		m.Called(now, id, o, rec.Time(10))
+	case simwire.EvHangup:
+		m.Gone(now, id)
+	case simwire.EvLameDuck:
+		m.Drain(now, rec.Time(1))
+	case simwire.EvTickDue:
+		n.gauges = n.gauges[:0]
+		for i := range min(int(rec.U8(9)), (simwire.EventSize-10)/4) {
+			n.gauges = append(n.gauges, rec.F32(10+4*i))
+		}
+		m.Woke(now, rec.U64(1), n.gauges)
+	}
+	return nil
+}
+
+func demand(rec simwire.Record) rules.Request {
+	opts := rec.U8(66)
+	r := rules.Request{
+		ID: rules.RequestID(rec.U64(1)), Earlier: rules.RequestID(rec.U64(9)), Patience: rec.Time(17),
+		Rank: rec.F32(25), Tenant: int(rec.U32(37)), Caller: rec.U32(41), Age: rec.Time(45),
+		Key: rec.U64(53), KB: rec.F32(61), Class: int(rec.U8(65)),
+		Retry: opts&simwire.OptRetry != 0, Write: opts&simwire.OptWrite != 0,
+	}
+	if opts&simwire.OptHint != 0 {
+		r.Hint = rec.Time(29)
+	}
+	return r
+}
+
+// host writes a module's actions in wire form.
+type host struct{ a *simwire.Actions }
+
+func (h *host) Run(id rules.RequestID)    { h.a.ID(simwire.AcLaunch, uint64(id)) }
+func (h *host) Halt(id rules.RequestID)   { h.a.ID(simwire.AcYank, uint64(id)) }
+func (h *host) Fail(id rules.RequestID)   { h.a.ID(simwire.AcFail, uint64(id)) }
+func (h *host) Skip(id rules.RequestID)   { h.a.ID(simwire.AcSkip, uint64(id)) }
+func (h *host) Forget(id rules.RequestID) { h.a.ID(simwire.AcReleaseKey, uint64(id)) }
+func (h *host) Reuse(id rules.RequestID)  { h.a.ID(simwire.AcReuse, uint64(id)) }
+func (h *host) Refuse(id rules.RequestID, retryAfter time.Duration, last bool) {
+	h.a.PushBack(uint64(id), retryAfter, last)
+}
+func (h *host) Call(id rules.RequestID, timeout time.Duration) {
+	h.a.IDTime(simwire.AcCallDep, uint64(id), timeout)
+}
+func (h *host) Keep(id rules.RequestID, span time.Duration) {
+	h.a.IDTime(simwire.AcKeep, uint64(id), span)
+}
+func (h *host) SetHealth(stored, good bool)         { h.a.SetHealth(stored, good) }
+func (h *host) Say(value float64)                   { h.a.Signal(value) }
+func (h *host) CloseIdle(after time.Duration)       { h.a.IdleLimit(after) }
+func (h *host) Wake(token uint64, in time.Duration) { h.a.IDTime(simwire.AcAfter, token, in) }
+func (h *host) Log(line string)                     { h.a.Text(simwire.AcWriteLog, line) }
--- /dev/null
+++ b/internal/simwire/frame.go
@@ -0,0 +1,278 @@
+// Package simwire reads and writes the simulator's frames and settings. It
+// knows layouts only; what the fields mean to a node is the rules package's
+// business.
+package simwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+// Sizes of the fixed parts of a frame, in bytes.
+const (
+	batchHeader = 12 // after the length field: record count and clock
+	EventSize   = 72
+	ActionSize  = 24
+	maxFrame    = 1 << 30
+)
+
+// Event codes.
+const (
+	EvEnlist   = 1
+	EvLameDuck = 2
+	EvAt       = 3
+	EvAtCall   = 4
+	EvTickDue  = 5
+	EvEnded    = 6
+	EvExit     = 7
+	EvCameBack = 8
+	EvHangup   = 9
+	EvDemand   = 10
+)
+
+// Action codes.
+const (
+	AcLaunch        = 1
+	AcPushBack      = 2
+	AcFail          = 3
+	AcYank          = 4
+	AcCallDep       = 5
+	AcSkip          = 6
+	AcKeep          = 7
+	AcReleaseKey    = 8
+	AcReuse         = 9
+	AcSetHealth     = 10
+	AcSignal        = 11
+	AcIdleLimit     = 12
+	AcAfter         = 13
+	AcWriteLog      = 14
+	AcInternalError = 15
+	AcContext       = 16
+)
+
+// Bits of a Demand's opts.
+const (
+	OptHint  = 1
+	OptRetry = 2
+	OptWrite = 4
+)
+
+// Batch is one frame of events.
+type Batch struct {
+	Clock   time.Duration
+	Count   int
+	records []byte
+	tail    []byte
+}
+
+// Record is one event record, addressed by the offsets of the wire page.
+type Record []byte
+
+// ReadBatch reads one frame into buf, growing it as needed, and returns the
+// batch and the buffer. It returns io.EOF only between frames.
+func ReadBatch(r io.Reader, buf []byte) (Batch, []byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		if errors.Is(err, io.EOF) {
+			return Batch{}, buf, io.EOF
+		}
+		return Batch{}, buf, fmt.Errorf("frame cut short in its length: %w", err)
+	}
+	size := int(binary.BigEndian.Uint32(head[:]))
+	if size < batchHeader || size > maxFrame {
+		return Batch{}, buf, fmt.Errorf("impossible frame length %d", size)
+	}
+	if cap(buf) < size {
+		buf = make([]byte, size)
+	}
+	buf = buf[:size]
+	if _, err := io.ReadFull(r, buf); err != nil {
+		return Batch{}, buf, fmt.Errorf("frame of %d bytes cut short: %w", size, err)
+	}
+	b, err := parseBatch(buf)
+	return b, buf, err
+}
+
+func parseBatch(body []byte) (Batch, error) {
+	count := int(binary.BigEndian.Uint32(body))
+	clock := math.Float64frombits(binary.BigEndian.Uint64(body[4:]))
+	rest := body[batchHeader:]
+	if count > len(rest)/EventSize {
+		return Batch{}, fmt.Errorf("%d records do not fit a frame of %d bytes", count, len(body))
+	}
+	if math.IsNaN(clock) || math.IsInf(clock, 0) {
+		return Batch{}, errors.New("the clock is not a number")
+	}
+	n := count * EventSize
+	return Batch{Clock: Duration(clock), Count: count, records: rest[:n], tail: rest[n:]}, nil
+}
+
+// Record returns event record i.
+func (b Batch) Record(i int) Record { return Record(b.records[i*EventSize : (i+1)*EventSize]) }
+
+// Tail resolves a tail reference at the given offset of a record.
+func (b Batch) Tail(r Record, at int) ([]byte, error) {
+	off, n := uint64(r.U32(at)), uint64(r.U32(at+4))
+	if off+n > uint64(len(b.tail)) {
+		return nil, fmt.Errorf("tail reference %d+%d beyond %d bytes", off, n, len(b.tail))
+	}
+	return b.tail[off : off+n], nil
+}
+
+// Code is the record's event code.
+func (r Record) Code() byte { return r[0] }
+
+// U8 reads one byte.
+func (r Record) U8(at int) byte { return r[at] }
+
+// U16 reads a two-byte number.
+func (r Record) U16(at int) uint16 { return binary.BigEndian.Uint16(r[at:]) }
+
+// U32 reads a four-byte number.
+func (r Record) U32(at int) uint32 { return binary.BigEndian.Uint32(r[at:]) }
+
+// U64 reads an eight-byte number.
+func (r Record) U64(at int) uint64 { return binary.BigEndian.Uint64(r[at:]) }
+
+// F32 reads a four-byte float.
+func (r Record) F32(at int) float64 {
+	return finite(float64(math.Float32frombits(binary.BigEndian.Uint32(r[at:]))))
+}
+
+// Time reads a time in milliseconds.
+func (r Record) Time(at int) time.Duration {
+	return Duration(finite(math.Float64frombits(binary.BigEndian.Uint64(r[at:]))))
+}
+
+func finite(x float64) float64 {
+	if math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0
+	}
+	return x
+}
+
+// Duration turns wire milliseconds into a duration, to the nearest microsecond.
+func Duration(ms float64) time.Duration {
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Actions collects what one instance does in one batch.
+type Actions struct {
+	records []byte
+	tail    []byte
+	logRefs []int // offsets of tail references, which move when tails are joined
+}
+
+// Reset empties the buffer.
+func (a *Actions) Reset() {
+	a.records, a.tail, a.logRefs = a.records[:0], a.tail[:0], a.logRefs[:0]
+}
+
+// Len is the number of records collected.
+func (a *Actions) Len() int { return len(a.records) / ActionSize }
+
+func (a *Actions) add(code byte) []byte {
+	var rec [ActionSize]byte
+	rec[0] = code
+	a.records = append(a.records, rec[:]...)
+	return a.records[len(a.records)-ActionSize:]
+}
+
+// ID adds an action that only names a request.
+func (a *Actions) ID(code byte, id uint64) { binary.BigEndian.PutUint64(a.add(code)[1:], id) }
+
+// IDTime adds an action that names a request, or a token, and a time.
+func (a *Actions) IDTime(code byte, id uint64, d time.Duration) {
+	r := a.add(code)
+	binary.BigEndian.PutUint64(r[1:], id)
+	binary.BigEndian.PutUint64(r[9:], math.Float64bits(millis(d)))
+}
+
+// PushBack adds a refusal.
+func (a *Actions) PushBack(id uint64, holdOff time.Duration, last bool) {
+	a.IDTime(AcPushBack, id, holdOff)
+	if last {
+		a.records[len(a.records)-ActionSize+17] = 1
+	}
+}
+
+// SetHealth adds a health setting.
+func (a *Actions) SetHealth(stored, on bool) {
+	r := a.add(AcSetHealth)
+	r[1], r[2] = flag(stored), flag(on)
+}
+
+func flag(on bool) byte {
+	if on {
+		return 1
+	}
+	return 0
+}
+
+// Signal adds a free value.
+func (a *Actions) Signal(x float64) {
+	binary.BigEndian.PutUint32(a.add(AcSignal)[1:], math.Float32bits(float32(x)))
+}
+
+// IdleLimit adds a limit on idle connections.
+func (a *Actions) IdleLimit(d time.Duration) {
+	binary.BigEndian.PutUint64(a.add(AcIdleLimit)[1:], math.Float64bits(millis(d)))
+}
+
+// Text adds WriteLog or InternalError.
+func (a *Actions) Text(code byte, line string) {
+	r := a.add(code)
+	binary.BigEndian.PutUint32(r[1:], uint32(len(a.tail)))
+	binary.BigEndian.PutUint32(r[5:], uint32(len(line)))
+	a.logRefs = append(a.logRefs, len(a.records)-ActionSize+1)
+	a.tail = append(a.tail, line...)
+}
+
+// Reply builds one reply frame.
+type Reply struct {
+	buf  []byte
+	tail []byte
+	n    int
+}
+
+// Reset starts a new reply.
+func (p *Reply) Reset() {
+	p.buf, p.tail, p.n = append(p.buf[:0], make([]byte, 8)...), p.tail[:0], 0
+}
+
+// Add appends an instance's actions under its Context; nothing for none.
+func (p *Reply) Add(who uint16, a *Actions) {
+	if a.Len() == 0 {
+		return
+	}
+	var ctx [ActionSize]byte
+	ctx[0] = AcContext
+	binary.BigEndian.PutUint16(ctx[1:], who)
+	p.buf = append(p.buf, ctx[:]...)
+	base := len(p.buf)
+	p.buf = append(p.buf, a.records...)
+	for _, at := range a.logRefs {
+		ref := p.buf[base+at:]
+		binary.BigEndian.PutUint32(ref, binary.BigEndian.Uint32(ref)+uint32(len(p.tail)))
+	}
+	p.tail = append(p.tail, a.tail...)
+	p.n += 1 + a.Len()
+}
+
+// WriteTo writes the frame.
+func (p *Reply) WriteTo(w io.Writer) (int64, error) {
+	p.buf = append(p.buf, p.tail...)
+	binary.BigEndian.PutUint32(p.buf, uint32(p.n))
+	binary.BigEndian.PutUint32(p.buf[4:], uint32(len(p.buf)-8))
+	n, err := w.Write(p.buf)
+	if err != nil {
+		return int64(n), fmt.Errorf("write reply: %w", err)
+	}
+	return int64(n), nil
+}
--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,145 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"robinmast/rules"
+)
+
+// settingsJSON mirrors the wire's settings; keys it does not name are skipped.
+type settingsJSON struct {
+	TickMs       float64 `json:"tickMs"`
+	GroupSize    int     `json:"groupSize"`
+	Layer        int     `json:"layer"`
+	CountedBy    string  `json:"countedBy"`
+	OverShare    float64 `json:"overShareWorth"`
+	ClientHabits struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clientHabits"`
+	Bounds struct {
+		MaxRetryAfterMs float64 `json:"maxRetryAfterMs"`
+		RetryAfter      bool    `json:"retryAfter"`
+	} `json:"bounds"`
+	Lanes []struct {
+		AimMs      float64 `json:"aimMs"`
+		AimStretch float64 `json:"aimStretch"`
+		DeadlineMs float64 `json:"deadlineMs"`
+		Effect     string  `json:"effect"`
+		LateShare  float64 `json:"lateShare"`
+		WindowMs   float64 `json:"windowMs"`
+		Worth      float64 `json:"worth"`
+	} `json:"lanes"`
+	Parties []struct {
+		QuotaRps float64 `json:"quotaRps"`
+		Share    float64 `json:"share"`
+	} `json:"parties"`
+	Extra struct {
+		Below          string    `json:"below"`
+		CallShare      float64   `json:"callShare"`
+		CallsOverMs    float64   `json:"callsOverMs"`
+		ClassCalls     []bool    `json:"classCalls"`
+		ClassSkipWorth []float64 `json:"classSkipWorth"`
+		CPUs           int       `json:"cpus"`
+		EntryKb        float64   `json:"entryKb"`
+		FreshMs        float64   `json:"freshMs"`
+		HeededMs       float64   `json:"heededMs"`
+		JustStarted    bool      `json:"justStarted"`
+		KeepaliveMaxMs float64   `json:"keepaliveMaxMs"`
+		Meters         []string  `json:"meters"`
+		PassesDeadline bool      `json:"passesDeadline"`
+		Preemption     string    `json:"preemption"`
+		RAMKb          float64   `json:"ramKb"`
+		Readiness      bool      `json:"readiness"`
+		RunFactor      float64   `json:"runFactor"`
+		Say            string    `json:"say"`
+		StaysForMs     float64   `json:"staysForMs"`
+		TellsGone      bool      `json:"tellsGone"`
+		Upstreams      int       `json:"upstreams"`
+	} `json:"extra"`
+	Obligations struct {
+		AnswerSlackMs       float64 `json:"answerSlackMs"`
+		ColdFrom            float64 `json:"coldFrom"`
+		FallMs              float64 `json:"fallMs"`
+		FallMultiple        float64 `json:"fallMultiple"`
+		RampTimeMs          float64 `json:"rampTimeMs"`
+		StopSendingWithinMs float64 `json:"stopSendingWithinMs"`
+	} `json:"obligations"`
+}
+
+var effects = map[string]rules.Effect{
+	"idempotent": rules.Safe, "deduplicated": rules.Keyed, "at_most_once": rules.Unsafe,
+}
+
+var belows = map[string]rules.Below{
+	"": rules.BelowNone, "none": rules.BelowNone, "shared": rules.BelowShared, "tier": rules.BelowTier,
+}
+
+var preemptions = map[string]rules.Preemption{
+	"": rules.PreemptNone, "none": rules.PreemptNone, "drop": rules.PreemptDrop, "pause": rules.PreemptPause,
+}
+
+var freeValues = map[string]rules.FreeValue{
+	"": rules.SayNone, "none": rules.SayNone, "level": rules.SayLevel, "credit": rules.SayCredit,
+	"weight": rules.SayWeight,
+}
+
+// pick looks a word up and says which setting held an unknown one.
+func pick[T any](words map[string]T, setting, word string) (T, error) {
+	v, ok := words[word]
+	if !ok {
+		return v, fmt.Errorf("setting %s: unknown word %q", setting, word)
+	}
+	return v, nil
+}
+
+// ParseSettings turns a node's settings text into the module's settings.
+func ParseSettings(text []byte) (rules.Settings, error) {
+	var j settingsJSON
+	if err := json.Unmarshal(text, &j); err != nil {
+		return rules.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	x, o := j.Extra, j.Obligations
+	s := rules.Settings{
+		Tick: Duration(j.TickMs), Cores: x.CPUs, Nodes: j.GroupSize, Callers: x.Upstreams,
+		Cold: x.JustStarted, Layer: j.Layer, OverShare: j.OverShare, WorthByWork: j.CountedBy == "work",
+		MarksRetries: j.ClientHabits.MarksRetry, PassesPatience: x.PassesDeadline, TellsGone: x.TellsGone,
+		HonoursRetry: j.Bounds.RetryAfter, MaxRetryAfter: Duration(j.Bounds.MaxRetryAfterMs),
+		FreeValueLife: Duration(x.HeededMs), MemoryKB: x.RAMKb, RunFactor: x.RunFactor, EntryKB: x.EntryKb,
+		Fresh: Duration(x.FreshMs), Gauges: x.Meters, KeepaliveMax: Duration(x.KeepaliveMaxMs),
+		Readiness: x.Readiness, CallShare: x.CallShare, CallWindow: Duration(x.CallsOverMs),
+		CallLinger: Duration(x.StaysForMs), AnswerSlack: Duration(o.AnswerSlackMs), ColdFrom: o.ColdFrom,
+		Ramp: Duration(o.RampTimeMs), DrainGrace: Duration(o.StopSendingWithinMs),
+		FallMultiple: o.FallMultiple, FallWindow: Duration(o.FallMs),
+	}
+	var err error
+	if s.Below, err = pick(belows, "extra.below", x.Below); err != nil {
+		return s, err
+	}
+	if s.Preemption, err = pick(preemptions, "extra.preemption", x.Preemption); err != nil {
+		return s, err
+	}
+	if s.FreeValue, err = pick(freeValues, "extra.say", x.Say); err != nil {
+		return s, err
+	}
+	for i, l := range j.Lanes {
+		c := rules.Class{
+			Aim: Duration(l.AimMs), AimStretch: l.AimStretch, Deadline: Duration(l.DeadlineMs),
+			LateShare: l.LateShare, Worth: l.Worth, Window: Duration(l.WindowMs),
+		}
+		if c.Effect, err = pick(effects, "lanes[].effect", l.Effect); err != nil {
+			return s, err
+		}
+		if i < len(x.ClassCalls) {
+			c.Calls = x.ClassCalls[i]
+		}
+		if i < len(x.ClassSkipWorth) {
+			c.SkipWorth = x.ClassSkipWorth[i]
+		}
+		s.Classes = append(s.Classes, c)
+	}
+	for _, p := range j.Parties {
+		s.Tenants = append(s.Tenants, rules.Tenant{QuotaPerSecond: p.QuotaRps, Share: p.Share})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/rules/api.go
@@ -0,0 +1,165 @@
+// Package rules is robinmast's decision module: what a node takes, runs, calls
+// and turns away. This file is its whole interface and holds no decision; the
+// decisions, and every tuned value, are in rules.go.
+//
+// A host feeds one Module per node: each event through its method, then one
+// Settle for the batch. The module answers through Host. All times are
+// durations on the host's own monotonic clock, whose zero means nothing.
+package rules
+
+import "time"
+
+// RequestID names one try of a request on this node. The host never reuses one.
+type RequestID uint64
+
+// Effect says how often a request of a class may run.
+type Effect uint8
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // may run any number of times
+	Keyed                // runs once within the class window, repeats are linked by Keep
+	Unsafe               // runs at most once
+)
+
+// Outcome is how a run or a call ended.
+type Outcome uint8
+
+// The outcomes of runs and calls.
+const (
+	OK            Outcome = iota // it went well
+	Failed                       // it failed and may have had its effect
+	Full                         // the call was bounced unseen
+	TimedOut                     // the call was given up and may have had its effect
+	ConnectFailed                // nothing below was reached
+	Reset                        // the call broke off and may have had its effect
+	Cancelled                    // the run was stopped, or ended at a call after its answer
+	Moot                         // nothing started, the request was over
+)
+
+// NeverRan reports whether the outcome proves that nothing ran.
+func (o Outcome) NeverRan() bool { return o == Full || o == ConnectFailed || o == Moot }
+
+// Below says what a node's requests call.
+type Below uint8
+
+// The kinds of dependency.
+const (
+	BelowNone   Below = iota
+	BelowShared       // one dependency that every node loads
+	BelowTier         // another tier of nodes, reached through a balancer
+)
+
+// Preemption says what Host.Halt does to running work.
+type Preemption uint8
+
+// The kinds of preemption.
+const (
+	PreemptNone  Preemption = iota // Halt must not be used
+	PreemptDrop                    // the work is lost and the request held again
+	PreemptPause                   // the work waits, with its memory, for Run
+)
+
+// FreeValue says what callers make of the value set by Host.Say.
+type FreeValue uint8
+
+// The meanings of the free value.
+const (
+	SayNone   FreeValue = iota // Say must not be used
+	SayLevel                   // callers send nothing ranked under it
+	SayCredit                  // requests each caller may have out here
+	SayWeight                  // chance that a caller does not pass this node over
+)
+
+// Class is what the settings say of a request class.
+type Class struct {
+	Aim        time.Duration // answers within it earn the full worth
+	AimStretch float64       // the aim grows by this many times the request's own work
+	Deadline   time.Duration // how long a client waits in all
+	LateShare  float64       // share of the worth between aim and deadline
+	Worth      float64
+	Window     time.Duration // Keyed: how long after reaching us a repeat may come
+	Effect     Effect
+	Calls      bool    // its requests may call below
+	SkipWorth  float64 // share of the worth left when a call is skipped, 0 = must call
+}
+
+// Tenant is what the settings say of one tenant.
+type Tenant struct {
+	QuotaPerSecond float64 // over the whole fleet
+	Share          float64
+}
+
+// Settings is what a node is told when it starts.
+type Settings struct {
+	Tick           time.Duration // batches come at most this often
+	Cores          int
+	Nodes          int // nodes of this tier at the start
+	Callers        int // callers of this tier at the start
+	Cold           bool
+	Layer          int
+	Classes        []Class
+	Tenants        []Tenant
+	OverShare      float64 // worth of a request beyond its tenant's share
+	WorthByWork    bool    // worth counts for each unit of work
+	MarksRetries   bool
+	PassesPatience bool
+	TellsGone      bool
+	HonoursRetry   bool          // retry-after is passed on
+	MaxRetryAfter  time.Duration // the longest that is heeded
+	FreeValue      FreeValue
+	FreeValueLife  time.Duration // how long callers remember the free value
+	Preemption     Preemption
+	MemoryKB       float64
+	RunFactor      float64       // memory of a running request over a held one
+	EntryKB        float64       // memory of a kept entry
+	Fresh          time.Duration // how long a read's answer may be shared, 0 = never
+	Gauges         []string
+	KeepaliveMax   time.Duration
+	Readiness      bool // the callers' list follows health
+	Below          Below
+	CallShare      float64       // BelowShared: mean calls this node may hold
+	CallWindow     time.Duration // BelowShared: span of that mean
+	CallLinger     time.Duration // BelowShared: how long an abandoned call stays
+	AnswerSlack    time.Duration // how long past due an answer still counts
+	ColdFrom       float64       // least share of its speed a cold node starts at
+	Ramp           time.Duration // a cold node is warm after this
+	DrainGrace     time.Duration // what arrives later than this after Drain is not run
+	FallMultiple   float64       // mean runs a core that a warm node survives
+	FallWindow     time.Duration // span of that mean
+}
+
+// Request is one try that was read and is now held.
+type Request struct {
+	ID       RequestID
+	Earlier  RequestID     // the kept request it repeats, 0 = none
+	Patience time.Duration // how long the caller still waits, 0 = not told
+	Rank     float64       // its place by worth, 0 to 1
+	Hint     time.Duration // expected work, 0 = not told
+	Tenant   int
+	Caller   uint32
+	Age      time.Duration // since it reached the machine
+	Key      uint64
+	KB       float64 // memory while held
+	Class    int
+	Retry    bool // a further try or a second copy, where these are marked
+	Write    bool
+}
+
+// Host carries out what the module decides.
+type Host interface {
+	Run(id RequestID)
+	Halt(id RequestID)
+	Refuse(id RequestID, retryAfter time.Duration, last bool)
+	Fail(id RequestID)
+	Call(id RequestID, timeout time.Duration)
+	Skip(id RequestID)
+	Keep(id RequestID, span time.Duration)
+	Forget(id RequestID)
+	Reuse(id RequestID)
+	SetHealth(stored, good bool)
+	Say(value float64)
+	CloseIdle(after time.Duration)
+	Wake(token uint64, in time.Duration)
+	Log(line string)
+}
--- /dev/null
+++ b/rules/rules.go
@@ -0,0 +1,926 @@
+package rules
+
+// All decisions of a node, in the order a request lives: arrive, hold, start,
+// call, answer, drain. The interface (settings, events, Host) is in api.go.
+// docs/design.md tells what comes from the paper and when each exception acts.
+
+import (
+	"errors"
+	"math"
+	"time"
+)
+
+// Tuned values. Shares are of 1; every time is a real duration.
+const (
+	beat          = 25 * time.Millisecond  // the one timer: finer than any aim, 40 wake-ups a second
+	stepEvery     = 100 * time.Millisecond // the limit's steps: several completions apart
+	sayEvery      = 200 * time.Millisecond // free value and pressure: a fifth of its usual life
+	pauseOver     = 60 * time.Millisecond  // a beat this late means that the process stood still
+	waitShare     = 0.30                   // max wait as a share of the shortest aim: leaves most of it to run
+	ageShare      = 0.25                   // age limit as a share of the class deadline
+	minRunShare   = 0.6                    // of the usual run time must be left before the aim, or a start is waste
+	limitGrow     = 1.08                   // growth a step while cores idle with work held
+	limitShrink   = 0.95                   // shrink a step while runs take too long
+	slowRatio     = 1.7                    // run latency over base that counts as crowded
+	idleBelow     = 0.95                   // share of busy cores under which they count as idle
+	crowdMargin   = 0.85                   // of the crowd known to be survived: room for returns from calls
+	memoryMargin  = 0.88                   // of the memory: room for what is read meanwhile
+	keyMemory     = 0.45                   // of the memory that kept keys may take
+	callMargin    = 0.85                   // of this node's share of calls below
+	callPart      = 0.6                    // of the time left before the aim that one call may take
+	callTries     = 2                      // calls made for one need before going on without
+	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
+	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
+	baseDrift     = 1.002                  // the base creeps up so that one lucky run is forgotten
+	errAlpha      = 0.06                   // weight of a run in the error share
+	failingOver   = 0.5                    // error share from which the node counts as failing
+	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
+	stallMin      = 500 * time.Millisecond // and at least this long
+	abandonGaps   = 20.0                   // usual gaps after which running safe work is answered too
+	quotaSlack    = 1.25                   // a tenant's local share over its even share: traffic is uneven
+	quotaBurst    = 2.0                    // seconds of its quota a tenant may save up
+	retryValue    = 0.8                    // worth of a marked further try: it is older than it tells
+	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
+	pressureDown  = 0.02                   // pressure lost per say without refusals
+	refusedOK     = 0.03                   // share of refusals that is no pressure
+	lastOver      = 0.3                    // pressure from which the whole fleet is taken to be full
+	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
+	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
+	callBuckets   = 25                     // steps of the sliding mean of calls
+	creditSpread  = 1.5                    // credit over an even split: callers' traffic is uneven
+	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
+)
+
+type state uint8
+
+const (
+	held    state = iota // in the line, or paused and back in it
+	running              // on a core or waiting for its disk
+	atCall               // stands at a call and waits for our word
+	calling              // its call is out
+	reusing              // waits for the result of the request it repeats
+)
+
+type request struct {
+	Request
+	state    state
+	ran      bool          // a run took effect
+	answered bool          // its final answer is out; its run may go on
+	halted   bool          // told to stop after its answer
+	over     bool          // nothing is left of it
+	overdue  bool          // beyond its tenant's share
+	arrived  time.Duration // at the machine
+	aim      time.Duration // an answer later than this is worth little
+	due      time.Duration // its answer must be out before this
+	excused  time.Duration // age that a process pause added
+	calls    int           // calls made for the present need
+	lastCall Outcome
+}
+
+// learned is what completions taught about a class.
+type learned struct {
+	run  float64 // smoothed run latency, seconds; 0 = nothing yet
+	base float64 // its lowest, creeping up
+}
+
+// entry is a kept key; it outlives its request.
+type entry struct {
+	id      RequestID
+	expires time.Duration
+	ran     bool
+	freed   bool
+}
+
+// Module decides for one node.
+type Module struct {
+	set  Settings
+	host Host
+	now  time.Duration
+
+	born     time.Duration
+	all      []*request // in order of reading
+	byID     map[RequestID]*request
+	line     []*request // held, oldest first
+	memory   float64    // kilobytes that requests need
+	onCores  int        // state running
+	inCalls  int        // states atCall and calling
+	callsOut int        // state calling
+	classes  []learned
+
+	limit     float64 // running limit
+	drainRate float64 // successes a second while requests are held
+	drained   int     // successes since the last step
+	lineStood bool    // the line was never empty since the last step
+	errShare  float64
+	progress  time.Duration // last sign that work moves
+	stalled   bool
+
+	cpuGauge, runGauge int // places of the gauges, -1 = none
+	cpuBusy, runnable  float64
+
+	tokens   []float64 // per tenant
+	refilled time.Duration
+
+	entries map[RequestID]*entry
+	expiry  [][]*entry // per class, oldest first
+
+	callTime   [callBuckets]float64 // seconds of calls held, per bucket
+	callBucket int64
+	callSeen   time.Duration
+
+	wakeAt, stepAt, sayAt time.Duration
+	read, refused         int // since the last say
+	pressure              float64
+	said                  float64
+	healthy               bool
+
+	draining bool
+	notice   time.Duration
+	stopAt   time.Duration
+}
+
+// New starts a node's decisions.
+func New(now time.Duration, set Settings, seed uint64, host Host) (*Module, error) {
+	switch {
+	case set.Cores < 1:
+		return nil, errors.New("settings: a node needs at least one core")
+	case len(set.Classes) == 0:
+		return nil, errors.New("settings: no request classes")
+	case set.MemoryKB <= 0:
+		return nil, errors.New("settings: no memory size")
+	}
+	for _, c := range set.Classes {
+		if c.Deadline <= 0 {
+			return nil, errors.New("settings: a class without a deadline")
+		}
+	}
+	m := &Module{
+		set: set, host: host, now: now, born: now, limit: float64(set.Cores), progress: now,
+		byID: map[RequestID]*request{}, entries: map[RequestID]*entry{},
+		classes: make([]learned, len(set.Classes)), expiry: make([][]*entry, len(set.Classes)),
+		tokens: make([]float64, len(set.Tenants)), refilled: now, cpuGauge: -1, runGauge: -1,
+		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
+	}
+	for i, name := range set.Gauges {
+		switch name {
+		case "cpu_busy":
+			m.cpuGauge = i
+		case "runnable":
+			m.runGauge = i
+		}
+	}
+	for i := range m.tokens {
+		m.tokens[i] = quotaBurst * m.quota(i)
+	}
+	host.SetHealth(true, true)
+	m.wake()
+	return m, nil
+}
+
+// ---- arrive ----
+
+// Arrive takes a request that was read.
+func (m *Module) Arrive(now time.Duration, q Request) {
+	m.now = now
+	m.read++
+	r := &request{Request: q, arrived: now - q.Age}
+	m.byID[q.ID] = r
+	m.all = append(m.all, r)
+	m.memory += q.KB
+	if q.Class >= len(m.set.Classes) { // an unknown class: nothing is known of its rules
+		m.drop(r)
+		m.host.Fail(r.ID)
+		return
+	}
+	m.setTimes(r)
+	r.overdue = m.takeToken(r)
+	if m.tooLateToRun(r) || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
+		m.turnAway(r, false)
+		return
+	}
+	if m.remember(r) {
+		m.line = append(m.line, r)
+	}
+}
+
+// setTimes works out when the answer is due and until when it is wanted. Where
+// callers pass no patience, the class deadline counts from the machine.
+func (m *Module) setTimes(r *request) {
+	c := m.class(r)
+	r.due = r.arrived + c.Deadline
+	if m.set.PassesPatience && r.Patience > 0 {
+		r.due = m.now + r.Patience
+	}
+	if m.draining {
+		r.due = min(r.due, m.stopAt)
+	}
+	r.aim = r.arrived + c.Aim
+	if c.Aim <= 0 {
+		r.aim = r.arrived + c.Deadline
+	}
+	if c.AimStretch > 0 {
+		work := r.Hint
+		if work <= 0 {
+			work = m.usualRun(r)
+		}
+		r.aim = min(r.aim+time.Duration(c.AimStretch*float64(work)), r.arrived+c.Deadline)
+	}
+}
+
+// remember links a request to what it repeats. It reports whether the request
+// joins the line; otherwise it was answered or waits for the other's result.
+func (m *Module) remember(r *request) bool {
+	c := m.class(r)
+	shared := c.Effect == Safe && m.set.Fresh > 0 && r.Key != 0 && !r.Write
+	if c.Effect != Keyed && !shared {
+		return true
+	}
+	if r.Earlier != 0 {
+		e := m.entries[r.Earlier]
+		if e == nil || e.ran || !e.freed { // unknown counts as run: never risk a second effect
+			r.state = reusing
+			m.host.Reuse(r.ID)
+			return false
+		}
+	}
+	span := m.set.Fresh
+	if c.Effect == Keyed {
+		span = c.Window + 2*m.set.Tick
+		if m.keyMemory()+m.set.EntryKB > keyMemory*m.set.MemoryKB { // it must not run unremembered
+			m.turnAway(r, false)
+			return false
+		}
+	} else if m.keyMemory() > keyMemory*m.set.MemoryKB/2 {
+		return true
+	}
+	e := &entry{id: r.ID, expires: m.now + span}
+	m.entries[r.ID] = e
+	m.expiry[r.Class] = append(m.expiry[r.Class], e)
+	m.host.Keep(r.ID, span)
+	return true
+}
+
+func (m *Module) keyMemory() float64 { return float64(len(m.entries)) * m.set.EntryKB }
+
+// quota is a tenant's even share on this node, requests a second.
+func (m *Module) quota(t int) float64 {
+	return quotaSlack * m.set.Tenants[t].QuotaPerSecond / float64(max(m.set.Nodes, 1))
+}
+
+// takeToken reports whether a request is beyond its tenant's share here. It
+// only marks: the mark counts when the line is full.
+func (m *Module) takeToken(r *request) bool {
+	if r.Tenant < 0 || r.Tenant >= len(m.tokens) || m.set.Tenants[r.Tenant].QuotaPerSecond <= 0 || r.Retry {
+		return false
+	}
+	if dt := (m.now - m.refilled).Seconds(); dt > 0 {
+		for i := range m.tokens {
+			m.tokens[i] = min(m.tokens[i]+dt*m.quota(i), quotaBurst*m.quota(i))
+		}
+		m.refilled = m.now
+	}
+	if m.tokens[r.Tenant] < 1 {
+		return true
+	}
+	m.tokens[r.Tenant]--
+	return false
+}
+
+// ---- hold ----
+
+// bound is the count the line may hold: the longest wait times the learned
+// drain rate, and never under the running limit.
+func (m *Module) bound() int {
+	if m.stalled {
+		return 0
+	}
+	if m.errShare > failingOver {
+		return m.set.Cores
+	}
+	return int(max(m.limit, m.maxWait().Seconds()*m.drainRate))
+}
+
+func (m *Module) maxWait() time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, c := range m.set.Classes {
+		if c.Aim > 0 {
+			shortest = min(shortest, c.Aim)
+		} else {
+			shortest = min(shortest, c.Deadline)
+		}
+	}
+	return time.Duration(waitShare * float64(shortest))
+}
+
+// tooOld reports whether a held request may not wait longer: its age limit has
+// passed, or what is left before its aim is too short to run it.
+func (m *Module) tooOld(r *request) bool {
+	limit := time.Duration(ageShare * float64(m.class(r).Deadline))
+	if m.now-r.arrived-r.excused > limit {
+		return true
+	}
+	return m.hopeless(r)
+}
+
+func (m *Module) hopeless(r *request) bool {
+	left := min(r.aim, r.due-m.margin()) - m.now
+	if m.class(r).LateShare > 0 {
+		left = r.due - m.margin() - m.now
+	}
+	return left < time.Duration(minRunShare*float64(m.usualRun(r)))
+}
+
+// usualRun is how long a request of this class runs at present.
+func (m *Module) usualRun(r *request) time.Duration {
+	if l := m.classes[r.Class]; l.run > 0 {
+		return time.Duration(l.run * float64(time.Second))
+	}
+	return min(firstRunGuess, m.class(r).Deadline/8)
+}
+
+// value is what serving a held request earns for each unit of work.
+func (m *Module) value(r *request) float64 {
+	v := m.class(r).Worth
+	if r.overdue {
+		v *= m.set.OverShare
+	}
+	if r.Retry {
+		v *= retryValue
+	}
+	if m.set.WorthByWork {
+		return v
+	}
+	cost := r.Hint
+	if cost <= 0 {
+		cost = m.usualRun(r)
+	}
+	return v / max(cost.Seconds(), 0.001)
+}
+
+// shed refuses held requests until the line is within its bound: the one that
+// earns least for its work leaves, of equals the newest.
+func (m *Module) shed() {
+	bound := m.bound()
+	for len(m.line) > bound {
+		worst := len(m.line) - 1
+		for i := worst - 1; i >= 0; i-- {
+			if m.value(m.line[i]) < m.value(m.line[worst]) {
+				worst = i
+			}
+		}
+		r := m.line[worst]
+		m.unline(worst)
+		m.turnAway(r, m.pressure > lastOver && !m.sick())
+	}
+}
+
+func (m *Module) unline(i int) { m.line = append(m.line[:i], m.line[i+1:]...) }
+
+// ---- start ----
+
+// crowd is how many requests may be in hand, so that even if all come back from
+// calls at once the cores stay under the crowd known to be survived. A cold
+// node's speed counts at its slowest ramp.
+func (m *Module) crowd() float64 {
+	speed := 1.0
+	if m.set.Cold && m.set.Ramp > 0 {
+		done := min(1, float64(m.now-m.born)/float64(m.set.Ramp))
+		speed = m.set.ColdFrom + (1-m.set.ColdFrom)*done
+	}
+	mult := m.set.FallMultiple
+	if mult <= 1 {
+		mult = 2
+	}
+	return max(1, crowdMargin*float64(m.set.Cores)*(1+(mult-1)*speed))
+}
+
+// start gives free slots to the oldest held requests.
+func (m *Module) start() {
+	crowd := m.crowd()
+	slots := int(min(m.limit, crowd))
+	if m.errShare > failingOver {
+		slots = min(slots, m.set.Cores)
+	}
+	for len(m.line) > 0 && m.onCores < slots && m.onCores+m.inCalls < int(crowd) && !m.stalled {
+		r := m.line[0]
+		if m.tooOld(r) {
+			m.unline(0)
+			m.turnAway(r, true)
+			continue
+		}
+		grown := r.KB * (m.set.RunFactor - 1)
+		if m.memory+grown+m.keyMemory() > memoryMargin*m.set.MemoryKB {
+			return
+		}
+		m.unline(0)
+		m.memory += max(grown, 0)
+		r.state, r.ran = running, true
+		m.onCores++
+		if e := m.entries[r.ID]; e != nil {
+			e.ran = true
+		}
+		m.host.Run(r.ID)
+	}
+}
+
+// step moves the running limit and the drain rate.
+func (m *Module) step(dt time.Duration) {
+	if m.lineStood && dt > 0 && !m.stalled {
+		m.drainRate += rateAlpha * (float64(m.drained)/dt.Seconds() - m.drainRate)
+	}
+	ratio := m.ratio()
+	full := m.onCores >= int(m.limit)
+	switch {
+	case ratio > slowRatio:
+		m.limit *= limitShrink
+	case m.lineStood && full && m.coresIdle(ratio):
+		m.limit = max(m.limit+0.5, m.limit*limitGrow)
+	}
+	m.limit = max(min(m.limit, m.crowd()), float64(m.set.Cores))
+	m.drained, m.lineStood = 0, len(m.line) > 0
+}
+
+func (m *Module) coresIdle(ratio float64) bool {
+	if m.cpuGauge < 0 && m.runGauge < 0 {
+		return ratio < (1+slowRatio)/2
+	}
+	return (m.runGauge >= 0 && m.runnable < float64(m.set.Cores)) || (m.cpuGauge >= 0 && m.cpuBusy < idleBelow)
+}
+
+// ratio is the mean over classes of run latency over base.
+func (m *Module) ratio() float64 {
+	sum, n := 0.0, 0.0
+	for _, l := range m.classes {
+		if l.base > 0 {
+			sum += l.run / l.base
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / n
+}
+
+func (m *Module) sick() bool { return m.stalled || m.errShare > failingOver || m.ratio() > sickRatio }
+
+// ---- call ----
+
+// NeedsCall tells that a running request stands at a call.
+func (m *Module) NeedsCall(now time.Duration, id RequestID) {
+	m.now = now
+	if r := m.byID[id]; r != nil && r.state == running {
+		m.moved()
+		m.onCores--
+		m.inCalls++
+		r.state, r.calls, r.lastCall = atCall, 0, Moot
+	}
+}
+
+// Called tells how a call ended.
+func (m *Module) Called(now time.Duration, id RequestID, o Outcome, took time.Duration) {
+	m.now = now
+	m.countCalls()
+	r := m.byID[id]
+	if r == nil || r.state != calling {
+		return
+	}
+	m.callsOut--
+	m.moved()
+	r.state, r.lastCall = atCall, o
+	switch o {
+	case OK:
+		r.state = running
+		m.inCalls--
+		m.onCores++
+	case TimedOut:
+		m.linger()
+	}
+}
+
+// decideCalls gives each request that stands at a call its word: make it while
+// this node's share and its own bound allow, else go on without, else wait.
+func (m *Module) decideCalls() {
+	for _, r := range m.all {
+		if r.over || r.answered || r.state != atCall {
+			continue
+		}
+		c := m.class(r)
+		left := min(r.aim, r.due-m.margin()) - m.now
+		timeout := max(time.Duration(callPart*float64(left)), m.set.Tick)
+		repeat := r.calls == 0 || r.lastCall.NeverRan() || c.Effect == Safe
+		switch {
+		case repeat && r.calls < callTries && left > 0 && m.roomToCall(timeout):
+			m.callsOut++
+			r.calls++
+			r.state = calling
+			m.host.Call(r.ID, timeout)
+		case c.SkipWorth > 0:
+			m.inCalls--
+			m.onCores++
+			r.state = running
+			m.host.Skip(r.ID)
+		case r.calls > 0 && (!repeat || r.calls >= callTries):
+			m.giveUp(r)
+		}
+	}
+}
+
+func (m *Module) roomToCall(timeout time.Duration) bool {
+	if float64(m.callsOut) >= m.crowd()-float64(m.set.Cores) {
+		return false
+	}
+	if m.set.Below != BelowShared || m.set.CallShare <= 0 || m.set.CallWindow <= 0 {
+		return true
+	}
+	sum := float64(m.callsOut+1) * min(timeout, m.set.CallWindow).Seconds()
+	for _, s := range m.callTime {
+		sum += s
+	}
+	return sum <= callMargin*m.set.CallShare*m.set.CallWindow.Seconds()
+}
+
+// countCalls adds the calls held since last time to the sliding window.
+func (m *Module) countCalls() {
+	if m.set.CallWindow <= 0 {
+		return
+	}
+	width := m.set.CallWindow / (callBuckets - 1)
+	if width <= 0 {
+		return
+	}
+	for m.callSeen < m.now {
+		if b := int64(m.callSeen / width); b != m.callBucket {
+			m.callBucket = b
+			m.callTime[b%callBuckets] = 0
+		}
+		end := min(time.Duration(m.callBucket+1)*width, m.now)
+		m.callTime[m.callBucket%callBuckets] += float64(m.callsOut) * (end - m.callSeen).Seconds()
+		m.callSeen = end
+	}
+}
+
+// linger books an abandoned call, which stays below for a while.
+func (m *Module) linger() { m.callTime[m.callBucket%callBuckets] += m.set.CallLinger.Seconds() }
+
+// ---- answer ----
+
+// Ended tells that a run, or a reuse, is over.
+func (m *Module) Ended(now time.Duration, id RequestID, o Outcome, took time.Duration) {
+	m.now = now
+	m.countCalls()
+	r := m.byID[id]
+	if r == nil {
+		return
+	}
+	if r.state == running && o != Moot {
+		m.moved()
+	}
+	if r.state == running && !r.answered {
+		m.learn(r, o, took)
+	}
+	if o == Cancelled && !r.answered { // stopped without an answer: it is still owed
+		m.leaveCores(r)
+		r.state = held
+		if m.class(r).Effect == Safe {
+			m.line = append([]*request{r}, m.line...)
+		} else {
+			m.giveUp(r)
+		}
+		return
+	}
+	m.drop(r)
+}
+
+// learn takes a completion into account. Only successes teach the drain rate
+// and the latency: fast errors look like speed.
+func (m *Module) learn(r *request, o Outcome, took time.Duration) {
+	switch o {
+	case OK:
+		m.errShare -= errAlpha * m.errShare
+		m.drained++
+		l := &m.classes[r.Class]
+		t := took.Seconds()
+		if l.run == 0 {
+			l.run, l.base = t, t
+			return
+		}
+		l.run += runAlpha * (t - l.run)
+		l.base = min(l.base*baseDrift, l.run)
+	case Failed:
+		m.errShare += errAlpha * (1 - m.errShare)
+	}
+}
+
+// moved notes a sign of progress; after a stall, what was answered is stopped.
+func (m *Module) moved() {
+	m.progress = m.now
+	if m.stalled {
+		m.stalled = false
+		m.host.Log("work moves again")
+		for _, r := range m.all {
+			r.halted = false
+		}
+	}
+}
+
+// watch looks for a stall: many usual gaps between completions went by without
+// any sign of progress, whatever the cause.
+func (m *Module) watch() {
+	if m.onCores == 0 {
+		m.progress = m.now
+		m.stalled = false
+		return
+	}
+	mean, n := 0.0, 0.0
+	for _, l := range m.classes {
+		if l.run > 0 {
+			mean += l.run
+			n++
+		}
+	}
+	if n == 0 {
+		return
+	}
+	quiet := m.now - m.progress
+	gaps := quiet.Seconds() * float64(m.onCores) / (mean / n)
+	if !m.stalled && gaps > stallGaps && quiet > stallMin {
+		m.stalled = true
+		m.host.Log("no work moves: refusing")
+	}
+	if m.stalled && gaps > abandonGaps {
+		for _, r := range m.all {
+			if r.state == running && !r.answered && !r.over && m.class(r).Effect == Safe {
+				m.giveUp(r)
+			}
+		}
+	}
+}
+
+// turnAway refuses a request that never ran. Keyed work whose key may have run
+// is never refused: it fails.
+func (m *Module) turnAway(r *request, last bool) {
+	if r.ran || (m.class(r).Effect == Keyed && r.Earlier != 0) {
+		m.giveUp(r)
+		return
+	}
+	m.refused++
+	m.release(r)
+	m.drop(r)
+	m.host.Refuse(r.ID, m.advice(), last)
+}
+
+// release frees the key of a request that will never run.
+func (m *Module) release(r *request) {
+	if e := m.entries[r.ID]; e != nil && !e.ran && !e.freed {
+		e.freed = true
+		m.host.Forget(r.ID)
+	}
+}
+
+// giveUp answers a request that has run, or may have, with an error, and stops
+// safe work that nobody waits for.
+func (m *Module) giveUp(r *request) {
+	r.answered = true
+	m.host.Fail(r.ID)
+	if r.state == held || r.state == reusing {
+		m.drop(r)
+	}
+	m.stop(r)
+}
+
+// stop halts safe work whose answer is out. Keyed and unsafe work goes on: its
+// effect is wanted.
+func (m *Module) stop(r *request) {
+	if r.state != running || r.halted || m.set.Preemption == PreemptNone || m.class(r).Effect != Safe {
+		return
+	}
+	r.halted = true
+	m.host.Halt(r.ID)
+}
+
+// advice is the retry-after: the time in which half the line drains.
+func (m *Module) advice() time.Duration {
+	if !m.set.HonoursRetry {
+		return 0
+	}
+	longest := max(m.set.MaxRetryAfter, 0)
+	if m.draining || m.sick() || m.drainRate <= 0 {
+		return longest
+	}
+	wait := time.Duration(0.5 * float64(len(m.line)) / m.drainRate * float64(time.Second))
+	return min(max(wait, minAdvice), longest)
+}
+
+// Gone tells that nobody waits for a request any more.
+func (m *Module) Gone(now time.Duration, id RequestID) {
+	m.now = now
+	r := m.byID[id]
+	if r == nil {
+		return
+	}
+	r.answered = true
+	if r.state == held || r.state == reusing {
+		m.release(r)
+		m.drop(r)
+		return
+	}
+	m.stop(r)
+}
+
+// margin is how long before it is due an answer must be decided.
+func (m *Module) margin() time.Duration { return beat + 2*m.set.Tick }
+
+// expire answers what can't wait: everything before it is due, held work past
+// its age limit, and running safe work whose answer would be worth nothing.
+func (m *Module) expire() {
+	for _, r := range m.all {
+		if r.over || r.answered {
+			if r.answered && !r.over {
+				m.stop(r)
+			}
+			continue
+		}
+		late := m.now >= r.due-m.margin()
+		if !late && r.state != held {
+			c := m.class(r)
+			late = c.LateShare <= 0 && c.Effect == Safe && m.now > r.aim
+		}
+		switch {
+		case r.state == held && (late || m.tooOld(r)):
+			m.leaveLine(r)
+			m.turnAway(r, true)
+		case late:
+			m.giveUp(r)
+		}
+	}
+}
+
+func (m *Module) leaveLine(r *request) {
+	for i, o := range m.line {
+		if o == r {
+			m.unline(i)
+			return
+		}
+	}
+}
+
+// leaveCores takes a request out of the counts of its state.
+func (m *Module) leaveCores(r *request) {
+	switch r.state {
+	case running:
+		m.onCores--
+	case atCall:
+		m.inCalls--
+	case calling:
+		m.inCalls--
+		m.callsOut--
+		m.linger()
+	default:
+		return
+	}
+	m.memory -= max(r.KB*(m.set.RunFactor-1), 0)
+}
+
+// drop forgets a request of which nothing is left.
+func (m *Module) drop(r *request) {
+	if r.over {
+		return
+	}
+	m.leaveCores(r)
+	if r.state == held {
+		m.leaveLine(r)
+	}
+	m.memory -= r.KB
+	r.over = true
+	delete(m.byID, r.ID)
+}
+
+// ---- drain ----
+
+// Drain is the notice to leave: the process will be stopped after left.
+func (m *Module) Drain(now time.Duration, left time.Duration) {
+	m.now = now
+	if !m.draining {
+		m.notice = now
+	}
+	m.draining = true
+	m.stopAt = now + max(left-2*m.set.Tick, 0)
+	for _, r := range m.all {
+		r.due = min(r.due, m.stopAt)
+	}
+}
+
+// tooLateToRun reports whether a request came past the drain's grace.
+func (m *Module) tooLateToRun(r *request) bool {
+	return m.draining && r.arrived > m.notice+m.set.DrainGrace-2*m.set.Tick-beat
+}
+
+// ---- the node as a whole ----
+
+// Woke is the one timer. It brings the gauges.
+func (m *Module) Woke(now time.Duration, _ uint64, gauges []float64) {
+	m.now = now
+	if m.cpuGauge >= 0 && m.cpuGauge < len(gauges) {
+		m.cpuBusy = gauges[m.cpuGauge]
+	}
+	if m.runGauge >= 0 && m.runGauge < len(gauges) {
+		m.runnable = gauges[m.runGauge]
+	}
+	if late := now - m.wakeAt; late > pauseOver { // the process stood still: nobody's fault here
+		m.progress += late
+		for _, r := range m.line {
+			r.excused += late
+		}
+	}
+	m.watch()
+	if now >= m.stepAt {
+		m.step(now - m.stepAt + stepEvery)
+		m.stepAt = now + stepEvery
+	}
+	if now >= m.sayAt {
+		m.say()
+		m.sayAt = now + sayEvery
+	}
+	m.forgetKeys()
+	m.wake()
+}
+
+func (m *Module) wake() {
+	m.wakeAt = m.now + beat
+	m.host.Wake(1, beat)
+}
+
+func (m *Module) forgetKeys() {
+	for c, q := range m.expiry {
+		for len(q) > 0 && q[0].expires < m.now {
+			delete(m.entries, q[0].id)
+			q = q[1:]
+		}
+		m.expiry[c] = q
+	}
+}
+
+// say sets the free value and the health that callers are told.
+func (m *Module) say() {
+	share := 0.0
+	if m.read > 0 {
+		share = float64(m.refused) / float64(m.read)
+	}
+	if share > refusedOK {
+		m.pressure = min(m.pressure+pressureUp*share*(1-m.pressure), 0.95)
+	} else {
+		m.pressure = max(m.pressure-pressureDown, 0)
+	}
+	m.read, m.refused = 0, 0
+	out := m.stalled || m.draining
+	if good := !out; good != m.healthy {
+		m.healthy = good
+		m.host.SetHealth(true, good)
+	}
+	value := 0.0
+	switch m.set.FreeValue {
+	case SayNone:
+		return
+	case SayLevel:
+		value = m.pressure
+		if out {
+			value = 1
+		}
+	case SayCredit:
+		value = max(1, creditSpread*(m.limit+float64(m.bound()))/float64(max(m.set.Callers, 1)))
+		if out {
+			value = 0
+		}
+	case SayWeight:
+		value = 1 - m.pressure
+		if out {
+			value = 0
+		}
+	}
+	if math.Abs(value-m.said) > 0.005 {
+		m.said = value
+		m.host.Say(value)
+	}
+}
+
+// Settle decides after the events of a batch.
+func (m *Module) Settle(now time.Duration) {
+	m.now = now
+	m.countCalls()
+	m.expire()
+	m.decideCalls()
+	m.start()
+	m.shed()
+	m.lineStood = m.lineStood && len(m.line) > 0
+	keep := m.all[:0]
+	for _, r := range m.all {
+		if !r.over {
+			keep = append(keep, r)
+		}
+	}
+	clear(m.all[len(keep):])
+	m.all = keep
+}
+
+func (m *Module) class(r *request) *Class { return &m.set.Classes[r.Class] }
--- /dev/null
+++ b/rules/rules_test.go
@@ -0,0 +1,520 @@
+package rules
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// bed drives a module and records what it does.
+type bed struct {
+	t    *testing.T
+	m    *Module
+	now  time.Duration
+	acts []string
+	next RequestID
+	last map[string]bool // "action id" seen
+	wake time.Duration
+	say  float64
+}
+
+func (b *bed) add(format string, args ...any) {
+	line := fmt.Sprintf(format, args...)
+	b.acts = append(b.acts, line)
+	b.last[line] = true
+}
+func (b *bed) Run(id RequestID)  { b.add("run %d", id) }
+func (b *bed) Halt(id RequestID) { b.add("halt %d", id) }
+func (b *bed) Refuse(id RequestID, after time.Duration, last bool) {
+	b.add("refuse %d", id)
+	if after > 0 {
+		b.add("advice %d", id)
+	}
+	if last {
+		b.add("last %d", id)
+	}
+}
+func (b *bed) Fail(id RequestID)                     { b.add("fail %d", id) }
+func (b *bed) Call(id RequestID, t time.Duration)    { b.add("call %d", id) }
+func (b *bed) Skip(id RequestID)                     { b.add("skip %d", id) }
+func (b *bed) Keep(id RequestID, span time.Duration) { b.add("keep %d", id) }
+func (b *bed) Forget(id RequestID)                   { b.add("forget %d", id) }
+func (b *bed) Reuse(id RequestID)                    { b.add("reuse %d", id) }
+func (b *bed) SetHealth(stored, good bool)           { b.add("health %v %v", stored, good) }
+func (b *bed) Say(v float64)                         { b.say = v; b.add("say") }
+func (b *bed) CloseIdle(after time.Duration)         { b.add("idle") }
+func (b *bed) Wake(token uint64, in time.Duration)   { b.wake = b.now + in }
+func (b *bed) Log(line string)                       {}
+
+func settings() Settings {
+	return Settings{
+		Tick: 2 * ms, Cores: 2, Nodes: 4, Callers: 3, OverShare: 0.05, HonoursRetry: true,
+		MaxRetryAfter: time.Second, PassesPatience: true, Preemption: PreemptDrop, MemoryKB: 1e6,
+		RunFactor: 16, EntryKB: 100, Gauges: []string{"cpu_busy", "runnable", "novelty"},
+		AnswerSlack: 60 * ms, ColdFrom: 0.2, Ramp: 18 * time.Second, DrainGrace: 2 * time.Second,
+		FallMultiple: 8, FallWindow: 1500 * ms, CallWindow: 5 * time.Second, CallShare: 10,
+		CallLinger: 200 * ms,
+		Classes: []Class{
+			{Aim: 2500 * ms, Deadline: 8 * time.Second, Worth: 1},
+			{Aim: 2500 * ms, Deadline: 8 * time.Second, Worth: 2, SkipWorth: 0.5, Calls: true},
+			{Aim: 2500 * ms, Deadline: 8 * time.Second, Worth: 1, Effect: Keyed, Window: 5 * time.Second},
+			{Aim: 2500 * ms, Deadline: 8 * time.Second, Worth: 1, Effect: Unsafe},
+		},
+	}
+}
+
+func newBed(t *testing.T, change func(*Settings)) *bed {
+	t.Helper()
+	s := settings()
+	if change != nil {
+		change(&s)
+	}
+	b := &bed{t: t, last: map[string]bool{}, now: 50 * time.Second}
+	m, err := New(b.now, s, 7, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.m = m
+	return b
+}
+
+// arrive reads a request of a class, with changes, and returns its id.
+func (b *bed) arrive(class int, change func(*Request)) RequestID {
+	b.next++
+	q := Request{ID: b.next, Class: class, KB: 10, Patience: 8 * time.Second}
+	if change != nil {
+		change(&q)
+	}
+	b.m.Arrive(b.now, q)
+	return q.ID
+}
+
+func (b *bed) settle() { b.m.Settle(b.now) }
+
+// pass lets time go by, beat for beat, as the host would.
+func (b *bed) pass(d time.Duration, gauges ...float64) {
+	for end := b.now + d; b.wake <= end; {
+		b.now = b.wake
+		b.m.Woke(b.now, 1, gauges)
+		b.settle()
+	}
+}
+
+func (b *bed) want(lines ...string) {
+	b.t.Helper()
+	for _, l := range lines {
+		if !b.last[l] {
+			b.t.Errorf("missing %q in %v", l, b.acts)
+		}
+	}
+}
+
+func (b *bed) wantNot(lines ...string) {
+	b.t.Helper()
+	for _, l := range lines {
+		if b.last[l] {
+			b.t.Errorf("unwanted %q", l)
+		}
+	}
+}
+
+func (b *bed) count(prefix string) int {
+	n := 0
+	for _, a := range b.acts {
+		if len(a) > len(prefix) && a[:len(prefix)] == prefix {
+			n++
+		}
+	}
+	return n
+}
+
+func TestNewRejectsUnusableSettings(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"no cores":    func(s *Settings) { s.Cores = 0 },
+		"no classes":  func(s *Settings) { s.Classes = nil },
+		"no memory":   func(s *Settings) { s.MemoryKB = 0 },
+		"no deadline": func(s *Settings) { s.Classes[0].Deadline = 0 },
+	} {
+		s := settings()
+		change(&s)
+		if _, err := New(0, s, 1, &bed{last: map[string]bool{}}); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+func TestLineAndLimit(t *testing.T) {
+	b := newBed(t, nil)
+	for range 6 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	if got := b.count("run "); got != 2 {
+		t.Errorf("%d runs at the start, want the core count", got)
+	}
+	// The line's floor is the running limit: 2 wait, 2 are refused at once with advice.
+	b.want("refuse 6", "advice 6", "refuse 5")
+	b.m.Ended(b.now, 1, OK, 100*ms)
+	b.settle()
+	b.want("run 3") // the oldest
+	b.wantNot("run 4")
+}
+
+func TestLeastValuableLeavesFullLine(t *testing.T) {
+	b := newBed(t, nil)
+	for range 4 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.arrive(1, nil) // worth 2
+	b.settle()
+	b.want("refuse 4")
+	b.wantNot("refuse 5")
+}
+
+func TestLimitGrowsWhileCoresIdleAndShrinksWhenSlow(t *testing.T) {
+	b := newBed(t, nil)
+	for range 4 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.pass(300*ms, 0.5, 1)
+	if b.m.limit <= 2 {
+		t.Fatalf("limit %v did not grow with idle cores and held work", b.m.limit)
+	}
+	b.m.classes[0] = learned{run: 1, base: 0.2}
+	b.pass(5*time.Second, 1, 9)
+	if b.m.limit != 2 {
+		t.Errorf("limit %v, want the floor after long slow runs", b.m.limit)
+	}
+}
+
+func TestCrowdCeiling(t *testing.T) {
+	for _, cold := range []bool{false, true} {
+		b := newBed(t, func(s *Settings) { s.Cold = cold })
+		b.m.limit = 1000
+		for range 60 {
+			b.arrive(0, nil)
+		}
+		b.settle()
+		most := 16
+		if cold {
+			most = 4 // 2 cores x (1 + 7 x 0.2) = 4.8
+		}
+		if got := b.count("run "); got > most || got < 2 {
+			t.Errorf("cold %v: %d runs, at most %d are survived", cold, got, most)
+		}
+	}
+}
+
+func TestEveryRequestAnsweredByDue(t *testing.T) {
+	for class, answer := range []string{"fail", "fail", "fail", "fail"} {
+		t.Run(fmt.Sprint("class ", class), func(t *testing.T) {
+			b := newBed(t, nil)
+			id := b.arrive(class, func(q *Request) { q.Patience = 900 * ms })
+			b.settle()
+			b.want(fmt.Sprintf("run %d", id))
+			b.pass(900*ms-2*ms, 1, 1)
+			b.want(fmt.Sprintf("%s %d", answer, id))
+		})
+	}
+}
+
+func TestDueFromClassDeadlineWherePatienceIsNotPassed(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.PassesPatience = false })
+	id := b.arrive(3, func(q *Request) { q.Patience = 0; q.Age = 7 * time.Second })
+	b.settle()
+	b.pass(time.Second-2*ms, 1, 1)
+	if b.count("fail ")+b.count("refuse ") != 1 {
+		t.Errorf("request %d not answered once: %v", id, b.acts)
+	}
+}
+
+func TestHeldPastAgeIsRefusedNotRun(t *testing.T) {
+	b := newBed(t, nil)
+	for range 3 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.pass(2500*ms, 1, 2)
+	b.want("refuse 3")
+	b.wantNot("run 3")
+}
+
+func TestProcessPauseDoesNotEmptyTheLine(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.Classes[0].Aim = 6 * time.Second })
+	for range 4 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.now += 2100 * ms // nothing is delivered meanwhile
+	b.m.Woke(b.now, 1, []float64{1, 2})
+	b.m.Ended(b.now, 1, OK, 100*ms)
+	b.settle()
+	b.want("run 3")
+	b.wantNot("refuse 3", "refuse 4")
+}
+
+func TestKeyedRunsOnce(t *testing.T) {
+	b := newBed(t, nil)
+	first := b.arrive(2, nil)
+	b.settle()
+	b.want("keep 1", "run 1")
+	second := b.arrive(2, func(q *Request) { q.Earlier = first; q.Retry = true })
+	b.settle()
+	b.want("reuse 2")
+	b.wantNot("run 2", "refuse 2")
+	b.m.Ended(b.now, first, Failed, 10*ms)
+	b.m.Ended(b.now, second, Failed, 10*ms)
+	b.arrive(2, func(q *Request) { q.Earlier = first })
+	b.settle()
+	b.want("reuse 3")
+	b.wantNot("run 3")
+}
+
+func TestRefusedKeyMayRunLater(t *testing.T) {
+	b := newBed(t, nil)
+	for range 5 {
+		b.arrive(2, nil)
+	}
+	b.settle()
+	b.want("refuse 5", "forget 5")
+	b.m.Ended(b.now, 1, OK, 10*ms)
+	b.m.Ended(b.now, 2, OK, 10*ms)
+	b.arrive(2, func(q *Request) { q.Earlier = 5 }) // was on its way while the entry stood
+	b.settle()
+	b.want("keep 6")
+	b.wantNot("reuse 6")
+}
+
+func TestKeyedAndUnsafeThatRanAreNotRefused(t *testing.T) {
+	for _, class := range []int{2, 3} {
+		b := newBed(t, nil)
+		id := b.arrive(class, nil)
+		b.settle()
+		b.pass(9*time.Second, 1, 1)
+		b.want(fmt.Sprintf("fail %d", id))
+		b.wantNot(fmt.Sprintf("refuse %d", id), fmt.Sprintf("halt %d", id))
+	}
+}
+
+func TestKeyTableIsBounded(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.MemoryKB = 10000; s.EntryKB = 1000; s.RunFactor = 1 })
+	for range 20 {
+		id := b.arrive(2, nil)
+		b.settle()
+		b.m.Ended(b.now, id, OK, 10*ms)
+	}
+	if got := b.count("keep "); got > 4 {
+		t.Errorf("%d keys kept, memory holds 4 within its share", got)
+	}
+	b.want("refuse 20")
+	b.pass(6*time.Second, 0, 0)
+	id := b.arrive(2, nil)
+	b.settle()
+	b.want(fmt.Sprintf("run %d", id)) // the table emptied with time
+}
+
+func TestDrain(t *testing.T) {
+	b := newBed(t, nil)
+	a := b.arrive(3, nil)
+	b.m.Drain(b.now, 4*time.Second)
+	b.settle()
+	b.pass(1900*ms, 1, 1)
+	within := b.arrive(0, func(q *Request) { q.Age = 500 * ms })
+	b.now += 200 * ms
+	late := b.arrive(0, nil)
+	b.settle()
+	b.want(fmt.Sprint("run ", a), fmt.Sprint("run ", within), fmt.Sprint("refuse ", late), "health true false")
+	b.wantNot(fmt.Sprint("run ", late))
+	b.pass(1890*ms, 1, 1)
+	b.want(fmt.Sprint("fail ", a)) // all answered before the stop
+	if len(b.m.line) != 0 {
+		t.Errorf("%d still held at the stop", len(b.m.line))
+	}
+}
+
+func TestMemoryGuard(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.MemoryKB = 1000 })
+	for range 8 {
+		b.arrive(0, func(q *Request) { q.KB = 30 })
+	}
+	b.settle()
+	if got := b.count("run "); got != 1 {
+		t.Errorf("%d runs of 480 KB started in 1000 KB", got)
+	}
+}
+
+func TestCallsStayWithinShare(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.Below = BelowShared; s.CallShare = 0.3; s.Cores = 6 })
+	for range 6 {
+		b.arrive(1, nil)
+	}
+	b.settle()
+	for id := RequestID(1); id <= 6; id++ {
+		b.m.NeedsCall(b.now, id)
+	}
+	b.settle()
+	if got := b.count("call "); got != 0 && got != 1 {
+		t.Errorf("%d calls out at a share of 0.3", got)
+	}
+	if got := b.count("skip "); got < 5 {
+		t.Errorf("%d skips, want the rest to go on without", got)
+	}
+}
+
+func TestFailedCall(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   int
+		outcome Outcome
+		want    string
+	}{
+		{"safe skips after its tries", 1, TimedOut, "skip 1"},
+		{"unsafe is not repeated", 3, TimedOut, "fail 1"},
+		{"unsafe repeats what never ran", 3, Full, "call 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBed(t, func(s *Settings) { s.Below = BelowTier })
+			id := b.arrive(c.class, nil)
+			b.settle()
+			b.m.NeedsCall(b.now, id)
+			b.settle()
+			b.want("call 1")
+			b.last = map[string]bool{}
+			for range callTries - 1 {
+				b.m.Called(b.now, id, c.outcome, 10*ms)
+				b.settle()
+			}
+			if c.want == "skip 1" {
+				b.m.Called(b.now, id, c.outcome, 10*ms)
+				b.settle()
+			}
+			b.want(c.want)
+		})
+	}
+}
+
+func TestStallRefusesAndRecovers(t *testing.T) {
+	b := newBed(t, nil)
+	for range 20 {
+		id := b.arrive(0, nil)
+		b.settle()
+		b.now += 50 * ms
+		b.m.Ended(b.now, id, OK, 50*ms)
+		b.settle()
+		b.pass(25*ms, 1, 1)
+	}
+	a, c := b.arrive(0, nil), b.arrive(0, nil)
+	b.settle()
+	b.pass(900*ms, 1, 2)
+	d := b.arrive(0, nil)
+	b.settle()
+	b.want(fmt.Sprint("refuse ", d), fmt.Sprint("advice ", d), "health true false")
+	b.wantNot(fmt.Sprint("last ", d)) // another node can serve it
+	b.m.Ended(b.now, a, Cancelled, 900*ms)
+	b.m.Ended(b.now, c, Cancelled, 900*ms)
+	b.settle()
+	e := b.arrive(0, nil)
+	b.settle()
+	b.want(fmt.Sprint("run ", e))
+}
+
+func TestOnlySuccessesTeachTheDrainRate(t *testing.T) {
+	for _, o := range []Outcome{OK, Failed} {
+		b := newBed(t, nil)
+		for range 200 {
+			for _, r := range append([]*request(nil), b.m.all...) {
+				if r.state == running {
+					b.m.Ended(b.now, r.ID, o, 25*ms)
+				}
+			}
+			for range 4 {
+				b.arrive(0, nil)
+			}
+			b.pass(25*ms, 1, 2)
+		}
+		if got := b.m.drainRate; (got > 1) != (o == OK) {
+			t.Errorf("outcome %v taught a drain rate of %.1f", o, got)
+		}
+	}
+}
+
+func TestGoneIsNotAnswered(t *testing.T) {
+	b := newBed(t, nil)
+	for range 3 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.m.Gone(b.now, 1)
+	b.m.Gone(b.now, 3)
+	b.settle()
+	b.m.Ended(b.now, 1, Cancelled, 5*ms)
+	b.settle()
+	b.pass(9*time.Second, 1, 1)
+	b.want("halt 1")
+	b.wantNot("fail 1", "refuse 1", "run 3", "refuse 3")
+}
+
+func TestMootAndRepeatedEventsAreHarmless(t *testing.T) {
+	b := newBed(t, nil)
+	id := b.arrive(0, nil)
+	b.settle()
+	for range 2 {
+		b.m.Ended(b.now, id, OK, 5*ms)
+		b.m.Ended(b.now, id, Moot, 0)
+		b.m.NeedsCall(b.now, id)
+		b.m.Called(b.now, id, OK, 0)
+		b.m.Gone(b.now, id)
+		b.m.Woke(b.now, 99, nil)
+		b.settle()
+	}
+	if b.m.onCores != 0 || b.m.inCalls != 0 || len(b.m.all) != 0 || b.m.memory != 0 {
+		t.Errorf("left over: %d on cores, %d in calls, %d requests, %v KB",
+			b.m.onCores, b.m.inCalls, len(b.m.all), b.m.memory)
+	}
+}
+
+func TestUnknownClassFails(t *testing.T) {
+	b := newBed(t, nil)
+	b.arrive(200, nil)
+	b.settle()
+	b.want("fail 1")
+}
+
+// play runs a fixed mix of events and returns what the module did.
+func play(t *testing.T, others bool) []string {
+	b := newBed(t, nil)
+	var o *bed
+	if others {
+		o = newBed(t, nil)
+	}
+	for i := range 300 {
+		b.arrive(i%4, func(q *Request) { q.Tenant = i % 3; q.KB = float64(5 + i%7) })
+		if o != nil {
+			o.arrive(i%2, nil)
+			o.pass(10*ms, 0.2, 1)
+		}
+		b.settle()
+		if i%3 == 0 && len(b.m.all) > 0 && b.m.all[0].state == running {
+			b.m.Ended(b.now, b.m.all[0].ID, OK, 80*ms)
+		}
+		b.pass(20*ms, 0.9, 2)
+	}
+	return b.acts
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	if !reflect.DeepEqual(play(t, false), play(t, false)) {
+		t.Error("two runs of the same events differ")
+	}
+}
+
+func TestInstancesShareNothing(t *testing.T) {
+	if !reflect.DeepEqual(play(t, false), play(t, true)) {
+		t.Error("another instance changed what this one does")
+	}
+}
