--- a/rules/rules.go
+++ b/rules/rules.go
@@ -16,9 +16,9 @@
 	stepEvery     = 100 * time.Millisecond // the limit's steps: several completions apart
 	sayEvery      = 200 * time.Millisecond // free value and pressure: a fifth of its usual life
 	pauseOver     = 60 * time.Millisecond  // a beat this late means that the process stood still
-	waitShare     = 0.30                   // max wait as a share of the shortest aim: leaves most of it to run
+	waitShare     = 0.30                   // max wait over the shortest aim: leaves most of it to run
 	ageShare      = 0.25                   // age limit as a share of the class deadline
-	minRunShare   = 0.6                    // of the usual run time must be left before the aim, or a start is waste
+	minRunShare   = 0.6                    // of the usual run must fit before the aim, or a start is waste
 	limitGrow     = 1.08                   // growth a step while cores idle with work held
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.7                    // run latency over base that counts as crowded
