--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,11 +31,12 @@
 	callTries     = 2                      // calls made for one need before going on without
 	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
 	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
+	learnRuns     = 12                     // runs of a class before its mean is believed
 	baseDrift     = 1.002                  // the base creeps up so that one lucky run is forgotten
 	errAlpha      = 0.06                   // weight of a run in the error share
 	failingOver   = 0.5                    // error share from which the node counts as failing
 	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
-	stallMin      = 500 * time.Millisecond // and at least this long
+	stallMin      = 800 * time.Millisecond // and at least this long
 	abandonGaps   = 20.0                   // usual gaps after which running safe work is answered too
 	quotaSlack    = 1.25                   // a tenant's local share over its even share: traffic is uneven
 	quotaBurst    = 2.0                    // seconds of its quota a tenant may save up
@@ -80,7 +81,8 @@
 // learned is what completions taught about a class.
 type learned struct {
 	run  float64 // smoothed run latency, seconds; 0 = nothing yet
-	base float64 // its lowest, creeping up
+	base float64 // its lowest since enough runs ended, creeping up; 0 = not yet
+	n    float64 // runs that ended well
 }
 
 // entry is a kept key; it outlives its request.
@@ -601,11 +603,11 @@
 		m.drained++
 		l := &m.classes[r.Class]
 		t := took.Seconds()
-		if l.run == 0 {
-			l.run, l.base = t, t
-			return
+		l.n++
+		l.run += max(runAlpha, 1/l.n) * (t - l.run)
+		if l.n == learnRuns {
+			l.base = l.run
 		}
-		l.run += runAlpha * (t - l.run)
 		l.base = min(l.base*baseDrift, l.run)
 	case Failed:
 		m.errShare += errAlpha * (1 - m.errShare)
@@ -634,12 +636,12 @@
 	}
 	mean, n := 0.0, 0.0
 	for _, l := range m.classes {
-		if l.run > 0 {
+		if l.base > 0 {
 			mean += l.run
 			n++
 		}
 	}
-	if n == 0 {
+	if n == 0 { // the first to end are the shortest: they say nothing yet
 		return
 	}
 	quiet := m.now - m.progress
