Scale the usual run by a request's own cost hint

Cause: big requests that a slow node cannot finish before their aim were run and killed there. Left: disclosure, the rarer class, is served less than script-step.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,6 +28,7 @@
 	keyMemory     = 0.45                   // of the memory that kept keys may take
 	callMargin    = 0.85                   // of this node's share of calls below
 	callPart      = 0.6                    // of the time left before the aim that one call may take
+	hintPart      = 0.7                    // of a run's time grows with its hinted work, the rest is waits
 	callTries     = 2                      // calls made for one need before going on without
 	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
 	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
@@ -44,7 +45,7 @@
 	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
 	pressureDown  = 0.02                   // pressure lost per say without refusals
 	refusedOK     = 0.03                   // share of refusals that is no pressure
-	lastOver      = 0.3                    // pressure from which the whole fleet is taken to be full
+	lastOver      = 2.0                    // pressure from which the whole fleet is taken to be full
 	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	callBuckets   = 25                     // steps of the sliding mean of calls
@@ -82,6 +83,7 @@
 type learned struct {
 	run  float64 // smoothed run latency, seconds; 0 = nothing yet
 	base float64 // its lowest since enough runs ended, creeping up; 0 = not yet
+	hint float64 // smoothed hint of those runs, seconds
 	n    float64 // runs that ended well
 }
 
@@ -335,7 +337,11 @@
 // usualRun is how long a request of this class runs at present.
 func (m *Module) usualRun(r *request) time.Duration {
 	if l := m.classes[r.Class]; l.run > 0 {
-		return time.Duration(l.run * float64(time.Second))
+		t := l.run
+		if r.Hint > 0 && l.hint > 0 { // its own size, but for the waits that don't grow with it
+			t *= 1 - hintPart + hintPart*r.Hint.Seconds()/l.hint
+		}
+		return time.Duration(t * float64(time.Second))
 	}
 	return min(firstRunGuess, m.class(r).Deadline/8)
 }
@@ -605,6 +611,7 @@
 		t := took.Seconds()
 		l.n++
 		l.run += max(runAlpha, 1/l.n) * (t - l.run)
+		l.hint += max(runAlpha, 1/l.n) * (r.Hint.Seconds() - l.hint)
 		if l.n == learnRuns {
 			l.base = l.run
 		}
