Learn how runs grow with the hint as one slope over all classes

Cause: the per-class ratio started from one odd run, and a class taken for slow was refused and never corrected.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -28,7 +28,6 @@
 	keyMemory     = 0.45                   // of the memory that kept keys may take
 	callMargin    = 0.85                   // of this node's share of calls below
 	callPart      = 0.6                    // of the time left before the aim that one call may take
-	hintPart      = 0.7                    // of a run's time grows with its hinted work, the rest is waits
 	callTries     = 2                      // calls made for one need before going on without
 	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
 	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
@@ -110,6 +109,8 @@
 	inCalls  int        // states atCall and calling
 	callsOut int        // state calling
 	classes  []learned
+	hintVar  float64 // smoothed square of hints off their class mean
+	hintCov  float64 // and of that times run latency off its class mean
 
 	limit     float64 // running limit
 	drainRate float64 // successes a second while requests are held
@@ -334,16 +335,23 @@
 	return left < time.Duration(minRunShare*float64(m.usualRun(r)))
 }
 
-// usualRun is how long a request of this class runs at present.
+// usualRun is how long a request runs at present: its class's mean, moved by
+// its own hint along a slope learned over all classes, so that a rare class
+// with a few odd runs is not taken for slow and refused for ever.
 func (m *Module) usualRun(r *request) time.Duration {
-	if l := m.classes[r.Class]; l.run > 0 {
-		t := l.run
-		if r.Hint > 0 && l.hint > 0 { // its own size, but for the waits that don't grow with it
-			t *= 1 - hintPart + hintPart*r.Hint.Seconds()/l.hint
-		}
-		return time.Duration(t * float64(time.Second))
+	l := m.classes[r.Class]
+	if l.n == 0 {
+		return min(firstRunGuess, m.class(r).Deadline/8)
+	}
+	t := l.run
+	if r.Hint > 0 && m.hintVar > 0 {
+		t = max(t+max(m.hintCov/m.hintVar, 0)*(r.Hint.Seconds()-l.hint), t/10)
+	}
+	usual := time.Duration(t * float64(time.Second))
+	if l.n < learnRuns {
+		usual = min(usual, m.class(r).Deadline/8)
 	}
-	return min(firstRunGuess, m.class(r).Deadline/8)
+	return usual
 }
 
 // value is what serving a held request earns for each unit of work.
@@ -610,8 +618,15 @@
 		l := &m.classes[r.Class]
 		t := took.Seconds()
 		l.n++
+		if h := r.Hint.Seconds(); h > 0 {
+			dx, dy := h-l.hint, t-l.run
+			l.hint += max(runAlpha, 1/l.n) * dx
+			if l.n > 1 {
+				m.hintVar += runAlpha / 2 * (dx*dx - m.hintVar)
+				m.hintCov += runAlpha / 2 * (dx*dy - m.hintCov)
+			}
+		}
 		l.run += max(runAlpha, 1/l.n) * (t - l.run)
-		l.hint += max(runAlpha, 1/l.n) * (r.Hint.Seconds() - l.hint)
 		if l.n == learnRuns {
 			l.base = l.run
 		}
