--- a/rules/rules.go
+++ b/rules/rules.go
@@ -46,8 +46,10 @@
 	refusedOK     = 0.03                   // share of refusals that is no pressure
 	lastOver      = 2.0                    // pressure from which the whole fleet is taken to be full
 	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
+	adviceShare   = 0.3                    // of the time in which the line drains that advice names
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	callBuckets   = 25                     // steps of the sliding mean of calls
+	weightPart    = 0.5                    // of the pressure that the weight passes on
 	creditSpread  = 1.5                    // credit over an even split: callers' traffic is uneven
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
@@ -723,16 +725,16 @@
 	m.host.Halt(r.ID)
 }
 
-// advice is the retry-after: the time in which half the line drains.
+// advice is the retry-after: a share of the time in which the line drains.
 func (m *Module) advice() time.Duration {
 	if !m.set.HonoursRetry {
 		return 0
 	}
 	longest := max(m.set.MaxRetryAfter, 0)
-	if m.draining || m.sick() || m.drainRate <= 0 {
+	if m.draining || m.sick() {
 		return longest
 	}
-	wait := time.Duration(0.5 * float64(len(m.line)) / m.drainRate * float64(time.Second))
+	wait := time.Duration(adviceShare * float64(len(m.line)) / max(m.drainRate, m.limit) * float64(time.Second))
 	return min(max(wait, minAdvice), longest)
 }
 
@@ -917,7 +919,7 @@
 			value = 0
 		}
 	case SayWeight:
-		value = 1 - m.pressure
+		value = 1 - weightPart*m.pressure
 		if out {
 			value = 0
 		}
