Learn a call limit from call latency; skip what loses least

Cause: a shared dependency slows down long before this node's share of what it survives; once tipped, calls took five times as long and half the answers left the call out. The limit moves by the law of the running limit, a short line waits for room, the dearest call first. Also answers slow or hanging calls; harms where call latency varies without crowding.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -5,8 +5,10 @@
 // docs/design.md tells what comes from the paper and when each exception acts.
 
 import (
+	"cmp"
 	"errors"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -28,6 +30,13 @@
 	keyMemory     = 0.45                   // of the memory that kept keys may take
 	callMargin    = 0.85                   // of this node's share of calls below
 	callPart      = 0.6                    // of the time left before the aim that one call may take
+	callFirst     = 0.3                    // of the share is the first call limit: it is slow well below it
+	callFloor     = 0.05                   // of the share is the least call limit: it probes
+	callSlow      = 2.0                    // call latency over base that counts as crowded
+	callShrink    = 0.9                    // shrink of the call limit a step while crowded
+	callDrift     = 1.01                   // the call base creeps up a step: tenfold slower within half a minute
+	callAlpha     = 0.15                   // weight of a call in the call latency: fewer calls than runs
+	waitRunShare  = 0.8                    // usual runs that must be left to go on waiting for a call
 	callTries     = 2                      // calls made for one need before going on without
 	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
 	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
@@ -131,6 +140,12 @@
 	entries map[RequestID]*entry
 	expiry  [][]*entry // per class, oldest first
 
+	callLimit  float64 // calls this node may have out
+	callRun    float64 // smoothed call latency, seconds
+	callBase   float64 // its lowest, creeping up; 0 = not yet
+	calledN    float64 // calls that taught it
+	callsShort bool    // a call had to wait or was left out since the last step
+	callBack   time.Duration
 	callTime   [callBuckets]float64 // seconds of calls held, per bucket
 	callBucket int64
 	callSeen   time.Duration
@@ -163,7 +178,8 @@
 	}
 	m := &Module{
 		set: set, host: host, now: now, born: now, limit: float64(set.Cores), progress: now,
-		byID: map[RequestID]*request{}, entries: map[RequestID]*entry{},
+		callLimit: callFirst * set.CallShare,
+		byID:      map[RequestID]*request{}, entries: map[RequestID]*entry{},
 		classes: make([]learned, len(set.Classes)), expiry: make([][]*entry, len(set.Classes)),
 		tokens: make([]float64, len(set.Tenants)), refilled: now, cpuGauge: -1, runGauge: -1,
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
@@ -455,6 +471,7 @@
 		m.limit = max(m.limit+0.5, m.limit*limitGrow)
 	}
 	m.limit = max(min(m.limit, m.crowd()), float64(m.set.Cores))
+	m.stepCalls()
 	m.drained, m.lineStood = 0, len(m.line) > 0
 }
 
@@ -504,8 +521,12 @@
 		return
 	}
 	m.callsOut--
+	m.callBack = now
 	m.moved()
 	r.state, r.lastCall = atCall, o
+	if o == OK || o == TimedOut {
+		m.learnCall(took)
+	}
 	switch o {
 	case OK:
 		r.state = running
@@ -516,34 +537,59 @@
 	}
 }
 
-// decideCalls gives each request that stands at a call its word: make it while
-// this node's share and its own bound allow, else go on without, else wait.
+// decideCalls gives each request that stands at a call its word. The call that
+// costs most to leave out goes first; a short line may wait for room, the rest
+// goes on without, or, where it must call, waits on.
 func (m *Module) decideCalls() {
+	if m.inCalls == m.callsOut {
+		return
+	}
+	var wait []*request
 	for _, r := range m.all {
-		if r.over || r.answered || r.state != atCall {
-			continue
+		if !r.over && !r.answered && r.state == atCall {
+			wait = append(wait, r)
 		}
+	}
+	slices.SortStableFunc(wait, func(a, b *request) int { return cmp.Compare(m.loss(b), m.loss(a)) })
+	spare := int(max(1, m.callLimit))
+	for _, r := range wait {
 		c := m.class(r)
 		left := min(r.aim, r.due-m.margin()) - m.now
 		timeout := max(time.Duration(callPart*float64(left)), m.set.Tick)
-		repeat := r.calls == 0 || r.lastCall.NeverRan() || c.Effect == Safe
+		mayCall := r.calls == 0 || r.calls < callTries && (r.lastCall.NeverRan() || c.Effect == Safe)
 		switch {
-		case repeat && r.calls < callTries && left > 0 && m.roomToCall(timeout):
+		case !mayCall && c.SkipWorth <= 0:
+			m.giveUp(r)
+		case mayCall && left > 0 && m.roomToCall(timeout):
 			m.callsOut++
 			r.calls++
 			r.state = calling
 			m.host.Call(r.ID, timeout)
+		case mayCall && spare > 0 && left > time.Duration(waitRunShare*float64(m.usualRun(r))):
+			spare--
+			m.callsShort = true
 		case c.SkipWorth > 0:
+			m.callsShort = true
 			m.inCalls--
 			m.onCores++
 			r.state = running
 			m.host.Skip(r.ID)
-		case r.calls > 0 && (!repeat || r.calls >= callTries):
-			m.giveUp(r)
 		}
 	}
 }
 
+// loss is what leaving a request's call out costs.
+func (m *Module) loss(r *request) float64 {
+	v := m.class(r).Worth * (1 - m.class(r).SkipWorth)
+	if r.overdue {
+		v *= m.set.OverShare
+	}
+	return v
+}
+
+// roomToCall keeps calls under their own bounds: what the crowd allows, the
+// limit learned from call latency, and this node's share of a shared dependency
+// even if every call out lasts to its timeout.
 func (m *Module) roomToCall(timeout time.Duration) bool {
 	if float64(m.callsOut) >= m.crowd()-float64(m.set.Cores) {
 		return false
@@ -551,6 +597,12 @@
 	if m.set.Below != BelowShared || m.set.CallShare <= 0 || m.set.CallWindow <= 0 {
 		return true
 	}
+	if float64(m.callsOut) >= max(1, m.callLimit) {
+		return false
+	}
+	if m.callLimit < 1 && (m.now-m.callBack).Seconds() < m.callRun*(1/m.callLimit-1) {
+		return false // under one call on average: pause between them
+	}
 	sum := float64(m.callsOut+1) * min(timeout, m.set.CallWindow).Seconds()
 	for _, s := range m.callTime {
 		sum += s
@@ -558,6 +610,31 @@
 	return sum <= callMargin*m.set.CallShare*m.set.CallWindow.Seconds()
 }
 
+// learnCall takes the time of a call into account.
+func (m *Module) learnCall(took time.Duration) {
+	m.calledN++
+	m.callRun += max(callAlpha, 1/m.calledN) * (took.Seconds() - m.callRun)
+	if m.callBase == 0 && m.calledN >= learnRuns {
+		m.callBase = m.callRun
+	}
+	m.callBase = min(m.callBase, m.callRun)
+}
+
+// stepCalls moves the call limit by the law of the running limit: a crowded
+// dependency shows in its latency long before it falls over. The base follows
+// a dependency that has become slow for good.
+func (m *Module) stepCalls() {
+	switch {
+	case m.callBase > 0 && m.callRun > callSlow*m.callBase:
+		m.callLimit *= callShrink
+	case m.callsShort:
+		m.callLimit = max(m.callLimit*limitGrow, m.callLimit+0.02)
+	}
+	m.callBase *= callDrift
+	m.callLimit = max(min(m.callLimit, m.set.CallShare), m.set.CallShare*callFloor)
+	m.callsShort = false
+}
+
 // countCalls adds the calls held since last time to the sliding window.
 func (m *Module) countCalls() {
 	if m.set.CallWindow <= 0 {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -518,3 +518,66 @@
 		t.Error("another instance changed what this one does")
 	}
 }
+
+// callBed has n requests of class 1 standing at a call of a shared dependency.
+func callBed(t *testing.T, n int, change func(*Settings)) *bed {
+	b := newBed(t, func(s *Settings) {
+		s.Below, s.Cores = BelowShared, 8
+		if change != nil {
+			change(s)
+		}
+	})
+	for range n {
+		b.arrive(1, nil)
+	}
+	b.settle()
+	for id := RequestID(1); id <= RequestID(n); id++ {
+		b.m.NeedsCall(b.now, id)
+	}
+	return b
+}
+
+func TestCallLimitFollowsCallLatency(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.Below = BelowShared })
+	for range 20 {
+		b.m.learnCall(100 * ms)
+	}
+	start := b.m.callLimit
+	for range 20 {
+		b.m.learnCall(600 * ms)
+	}
+	b.pass(500*ms, 1, 1)
+	if b.m.callLimit >= start {
+		t.Errorf("limit %.2f did not shrink from %.2f as calls slowed sixfold", b.m.callLimit, start)
+	}
+	low := b.m.callLimit
+	for range 60 {
+		b.m.learnCall(100 * ms)
+	}
+	for range 10 {
+		b.m.callsShort = true
+		b.pass(100*ms, 1, 1)
+	}
+	if b.m.callLimit <= low {
+		t.Errorf("limit %.2f did not recover with the latency", b.m.callLimit)
+	}
+}
+
+func TestShortLineAtTheCallSkipsTheLeastLoss(t *testing.T) {
+	b := callBed(t, 8, func(s *Settings) { s.Classes[1].SkipWorth = 0.5 })
+	b.m.callLimit = 2
+	b.m.all[5].overdue = true
+	b.settle()
+	b.want("call 1", "call 2", "skip 6") // the two oldest call, what is beyond its share skips
+	b.wantNot("skip 3")                  // within the short line
+}
+
+func TestWaitingAtTheCallEndsInTime(t *testing.T) {
+	b := callBed(t, 3, nil)
+	b.m.callLimit = 1
+	b.settle()
+	b.want("call 1")
+	b.wantNot("skip 2")
+	b.pass(2500*ms, 1, 1)
+	b.want("skip 2")
+}
