--- a/rules/rules.go
+++ b/rules/rules.go
@@ -89,12 +89,25 @@
 	lastCall Outcome
 }
 
-// learned is what completions taught about a class.
-type learned struct {
-	run  float64 // smoothed run latency, seconds; 0 = nothing yet
-	base float64 // its lowest since enough runs ended, creeping up; 0 = not yet
-	hint float64 // smoothed hint of those runs, seconds
-	n    float64 // runs that ended well
+// pace is a smoothed latency, in seconds, and its base: the lowest it has been
+// since enough samples came, creeping up; 0 = not yet.
+type pace struct{ mean, base, n float64 }
+
+func (p *pace) learn(took time.Duration, alpha float64) {
+	p.n++
+	p.mean += max(alpha, 1/p.n) * (took.Seconds() - p.mean)
+	if p.n == learnRuns {
+		p.base = p.mean
+	}
+	p.base = min(p.base, p.mean)
+}
+
+// slow is the latency over its base, 1 while there is none.
+func (p *pace) slow() float64 {
+	if p.base <= 0 {
+		return 1
+	}
+	return p.mean / p.base
 }
 
 // entry is a kept key; it outlives its request.
@@ -119,11 +132,13 @@
 	onCores  int        // state running
 	inCalls  int        // states atCall and calling
 	callsOut int        // state calling
-	classes  []learned
-	hintVar  float64 // smoothed square of hints off their class mean
-	hintCov  float64 // and of that times run latency off its class mean
+	runs     []pace     // run latency per class
+	hints    []float64  // smoothed hint of those runs per class, seconds
+	hintVar  float64    // smoothed square of hints off their class mean
+	hintCov  float64    // and of that times run latency off its class mean
 
 	limit     float64 // running limit
+	maxWait   time.Duration
 	drainRate float64 // successes a second while requests are held
 	drained   int     // successes since the last step
 	lineStood bool    // the line was never empty since the last step
@@ -141,9 +156,7 @@
 	expiry  [][]*entry // per class, oldest first
 
 	callLimit  float64 // calls this node may have out
-	callRun    float64 // smoothed call latency, seconds
-	callBase   float64 // its lowest, creeping up; 0 = not yet
-	calledN    float64 // calls that taught it
+	called     pace    // call latency
 	callsShort bool    // a call had to wait or was left out since the last step
 	callBack   time.Duration
 	callTime   [callBuckets]float64 // seconds of calls held, per bucket
@@ -171,16 +184,23 @@
 	case set.MemoryKB <= 0:
 		return nil, errors.New("settings: no memory size")
 	}
-	for _, c := range set.Classes {
+	set.Classes = slices.Clone(set.Classes)
+	shortest := time.Duration(math.MaxInt64)
+	for i, c := range set.Classes {
 		if c.Deadline <= 0 {
 			return nil, errors.New("settings: a class without a deadline")
 		}
+		if c.Aim <= 0 {
+			set.Classes[i].Aim = c.Deadline
+		}
+		shortest = min(shortest, set.Classes[i].Aim)
 	}
 	m := &Module{
 		set: set, host: host, now: now, born: now, limit: float64(set.Cores), progress: now,
-		callLimit: callFirst * set.CallShare,
-		byID:      map[RequestID]*request{}, entries: map[RequestID]*entry{},
-		classes: make([]learned, len(set.Classes)), expiry: make([][]*entry, len(set.Classes)),
+		callLimit: callFirst * set.CallShare, maxWait: time.Duration(waitShare * float64(shortest)),
+		byID: map[RequestID]*request{}, entries: map[RequestID]*entry{},
+		runs: make([]pace, len(set.Classes)), hints: make([]float64, len(set.Classes)),
+		expiry: make([][]*entry, len(set.Classes)),
 		tokens: make([]float64, len(set.Tenants)), refilled: now, cpuGauge: -1, runGauge: -1,
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
 	}
@@ -238,9 +258,6 @@
 		r.due = min(r.due, m.stopAt)
 	}
 	r.aim = r.arrived + c.Aim
-	if c.Aim <= 0 {
-		r.aim = r.arrived + c.Deadline
-	}
 	if c.AimStretch > 0 {
 		work := r.Hint
 		if work <= 0 {
@@ -320,19 +337,7 @@
 	if m.errShare > failingOver {
 		return m.set.Cores
 	}
-	return int(max(m.limit, m.maxWait().Seconds()*m.drainRate))
-}
-
-func (m *Module) maxWait() time.Duration {
-	shortest := time.Duration(math.MaxInt64)
-	for _, c := range m.set.Classes {
-		if c.Aim > 0 {
-			shortest = min(shortest, c.Aim)
-		} else {
-			shortest = min(shortest, c.Deadline)
-		}
-	}
-	return time.Duration(waitShare * float64(shortest))
+	return int(max(m.limit, m.maxWait.Seconds()*m.drainRate))
 }
 
 // tooOld reports whether a held request may not wait longer: its age limit has
@@ -357,13 +362,13 @@
 // its own hint along a slope learned over all classes, so that a rare class
 // with a few odd runs is not taken for slow and refused for ever.
 func (m *Module) usualRun(r *request) time.Duration {
-	l := m.classes[r.Class]
+	l := m.runs[r.Class]
 	if l.n == 0 {
 		return min(firstRunGuess, m.class(r).Deadline/8)
 	}
-	t := l.run
+	t := l.mean
 	if r.Hint > 0 && m.hintVar > 0 {
-		t = max(t+max(m.hintCov/m.hintVar, 0)*(r.Hint.Seconds()-l.hint), t/10)
+		t = max(t+max(m.hintCov/m.hintVar, 0)*(r.Hint.Seconds()-m.hints[r.Class]), t/10)
 	}
 	usual := time.Duration(t * float64(time.Second))
 	if l.n < learnRuns {
@@ -402,14 +407,10 @@
 				worst = i
 			}
 		}
-		r := m.line[worst]
-		m.unline(worst)
-		m.turnAway(r, m.pressure > lastOver && !m.sick())
+		m.turnAway(m.line[worst], m.pressure > lastOver && !m.sick())
 	}
 }
 
-func (m *Module) unline(i int) { m.line = append(m.line[:i], m.line[i+1:]...) }
-
 // ---- start ----
 
 // crowd is how many requests may be in hand, so that even if all come back from
@@ -438,7 +439,6 @@
 	for len(m.line) > 0 && m.onCores < slots && m.onCores+m.inCalls < int(crowd) && !m.stalled {
 		r := m.line[0]
 		if m.tooOld(r) {
-			m.unline(0)
 			m.turnAway(r, true)
 			continue
 		}
@@ -446,7 +446,7 @@
 		if m.memory+grown+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 			return
 		}
-		m.unline(0)
+		m.line = m.line[1:]
 		m.memory += max(grown, 0)
 		r.state, r.ran = running, true
 		m.onCores++
@@ -462,7 +462,7 @@
 	if m.lineStood && dt > 0 && !m.stalled {
 		m.drainRate += rateAlpha * (float64(m.drained)/dt.Seconds() - m.drainRate)
 	}
-	ratio := m.ratio()
+	ratio, _ := m.ratio()
 	full := m.onCores >= int(m.limit)
 	switch {
 	case ratio > slowRatio:
@@ -482,22 +482,27 @@
 	return (m.runGauge >= 0 && m.runnable < float64(m.set.Cores)) || (m.cpuGauge >= 0 && m.cpuBusy < idleBelow)
 }
 
-// ratio is the mean over classes of run latency over base.
-func (m *Module) ratio() float64 {
-	sum, n := 0.0, 0.0
-	for _, l := range m.classes {
-		if l.base > 0 {
-			sum += l.run / l.base
+// ratio is the mean over the classes that have one of run latency over base,
+// and usual their mean run latency in seconds, 0 while nothing is known.
+func (m *Module) ratio() (ratio, usual float64) {
+	n := 0.0
+	for i := range m.runs {
+		if p := &m.runs[i]; p.base > 0 {
+			ratio += p.slow()
+			usual += p.mean
 			n++
 		}
 	}
-	if n == 0 {
-		return 1
+	if n == 0 { // the first to end are the shortest: they say nothing yet
+		return 1, 0
 	}
-	return sum / n
+	return ratio / n, usual / n
 }
 
-func (m *Module) sick() bool { return m.stalled || m.errShare > failingOver || m.ratio() > sickRatio }
+func (m *Module) sick() bool {
+	ratio, _ := m.ratio()
+	return m.stalled || m.errShare > failingOver || ratio > sickRatio
+}
 
 // ---- call ----
 
@@ -525,7 +530,7 @@
 	m.moved()
 	r.state, r.lastCall = atCall, o
 	if o == OK || o == TimedOut {
-		m.learnCall(took)
+		m.called.learn(took, callAlpha)
 	}
 	switch o {
 	case OK:
@@ -600,7 +605,7 @@
 	if float64(m.callsOut) >= max(1, m.callLimit) {
 		return false
 	}
-	if m.callLimit < 1 && (m.now-m.callBack).Seconds() < m.callRun*(1/m.callLimit-1) {
+	if m.callLimit < 1 && (m.now-m.callBack).Seconds() < m.called.mean*(1/m.callLimit-1) {
 		return false // under one call on average: pause between them
 	}
 	sum := float64(m.callsOut+1) * min(timeout, m.set.CallWindow).Seconds()
@@ -610,27 +615,17 @@
 	return sum <= callMargin*m.set.CallShare*m.set.CallWindow.Seconds()
 }
 
-// learnCall takes the time of a call into account.
-func (m *Module) learnCall(took time.Duration) {
-	m.calledN++
-	m.callRun += max(callAlpha, 1/m.calledN) * (took.Seconds() - m.callRun)
-	if m.callBase == 0 && m.calledN >= learnRuns {
-		m.callBase = m.callRun
-	}
-	m.callBase = min(m.callBase, m.callRun)
-}
-
 // stepCalls moves the call limit by the law of the running limit: a crowded
 // dependency shows in its latency long before it falls over. The base follows
 // a dependency that has become slow for good.
 func (m *Module) stepCalls() {
 	switch {
-	case m.callBase > 0 && m.callRun > callSlow*m.callBase:
+	case m.called.slow() > callSlow:
 		m.callLimit *= callShrink
 	case m.callsShort:
 		m.callLimit = max(m.callLimit*limitGrow, m.callLimit+0.02)
 	}
-	m.callBase *= callDrift
+	m.called.base *= callDrift
 	m.callLimit = max(min(m.callLimit, m.set.CallShare), m.set.CallShare*callFloor)
 	m.callsShort = false
 }
@@ -694,22 +689,17 @@
 	case OK:
 		m.errShare -= errAlpha * m.errShare
 		m.drained++
-		l := &m.classes[r.Class]
-		t := took.Seconds()
-		l.n++
-		if h := r.Hint.Seconds(); h > 0 {
-			dx, dy := h-l.hint, t-l.run
-			l.hint += max(runAlpha, 1/l.n) * dx
-			if l.n > 1 {
+		p := &m.runs[r.Class]
+		if r.Hint > 0 {
+			dx, dy := r.Hint.Seconds()-m.hints[r.Class], took.Seconds()-p.mean
+			m.hints[r.Class] += max(runAlpha, 1/(p.n+1)) * dx
+			if p.n > 0 {
 				m.hintVar += runAlpha / 2 * (dx*dx - m.hintVar)
 				m.hintCov += runAlpha / 2 * (dx*dy - m.hintCov)
 			}
 		}
-		l.run += max(runAlpha, 1/l.n) * (t - l.run)
-		if l.n == learnRuns {
-			l.base = l.run
-		}
-		l.base = min(l.base*baseDrift, l.run)
+		p.base *= baseDrift
+		p.learn(took, runAlpha)
 	case Failed:
 		m.errShare += errAlpha * (1 - m.errShare)
 	}
@@ -735,18 +725,12 @@
 		m.stalled = false
 		return
 	}
-	mean, n := 0.0, 0.0
-	for _, l := range m.classes {
-		if l.base > 0 {
-			mean += l.run
-			n++
-		}
-	}
-	if n == 0 { // the first to end are the shortest: they say nothing yet
+	_, usual := m.ratio()
+	if usual == 0 {
 		return
 	}
 	quiet := m.now - m.progress
-	gaps := quiet.Seconds() * float64(m.onCores) / (mean / n)
+	gaps := quiet.Seconds() * float64(m.onCores) / usual
 	if !m.stalled && gaps > stallGaps && quiet > stallMin {
 		m.stalled = true
 		m.host.Log("no work moves: refusing")
@@ -787,6 +771,7 @@
 	r.answered = true
 	m.host.Fail(r.ID)
 	if r.state == held || r.state == reusing {
+		m.release(r)
 		m.drop(r)
 	}
 	m.stop(r)
@@ -851,7 +836,6 @@
 		}
 		switch {
 		case r.state == held && (late || m.tooOld(r)):
-			m.leaveLine(r)
 			m.turnAway(r, true)
 		case late:
 			m.giveUp(r)
@@ -859,15 +843,6 @@
 	}
 }
 
-func (m *Module) leaveLine(r *request) {
-	for i, o := range m.line {
-		if o == r {
-			m.unline(i)
-			return
-		}
-	}
-}
-
 // leaveCores takes a request out of the counts of its state.
 func (m *Module) leaveCores(r *request) {
 	switch r.state {
@@ -891,8 +866,8 @@
 		return
 	}
 	m.leaveCores(r)
-	if r.state == held {
-		m.leaveLine(r)
+	if i := slices.Index(m.line, r); r.state == held && i >= 0 {
+		m.line = slices.Delete(m.line, i, i+1)
 	}
 	m.memory -= r.KB
 	r.over = true
