Learn run latency from runs stopped at their aim; probe with two runs

Runs stopped at their aim now teach at least their time so far, and two runs start however slow the node seems, so that recovery is seen. Also answers hangs, heavy runs and cold nodes; it could refuse too much after one very heavy run in a quiet class.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,6 +21,7 @@
 	waitShare     = 0.30                   // max wait over the shortest aim: leaves most of it to run
 	ageShare      = 0.25                   // age limit as a share of the class deadline
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
+	probeRuns     = 2                      // runs that start however slow the node seems
 	limitGrow     = 1.08                   // growth a step while cores idle with work held
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.7                    // run latency over base that counts as crowded
@@ -83,6 +84,7 @@
 	overdue  bool          // beyond its tenant's share
 	arrived  time.Duration // at the machine
 	aim      time.Duration // an answer later than this is worth little
+	started  time.Duration // its last run
 	due      time.Duration // its answer must be out before this
 	excused  time.Duration // age that a process pause added
 	calls    int           // calls made for the present need
@@ -355,6 +357,9 @@
 	if m.class(r).LateShare > 0 {
 		left = r.due - m.margin() - m.now
 	}
+	if m.onCores+m.inCalls < probeRuns { // what the node can do now is only learned by trying
+		return left <= 0
+	}
 	return left < time.Duration(minRunShare*float64(m.usualRun(r)))
 }
 
@@ -448,7 +453,7 @@
 		}
 		m.line = m.line[1:]
 		m.memory += max(grown, 0)
-		r.state, r.ran = running, true
+		r.state, r.ran, r.started = running, true, m.now
 		m.onCores++
 		if e := m.entries[r.ID]; e != nil {
 			e.ran = true
@@ -830,9 +835,11 @@
 			continue
 		}
 		late := m.now >= r.due-m.margin()
-		if !late && r.state != held {
-			c := m.class(r)
-			late = c.LateShare <= 0 && c.Effect == Safe && m.now > r.aim
+		if c := m.class(r); !late && r.state != held && c.LateShare <= 0 && c.Effect == Safe && m.now > r.aim {
+			late = true
+			if r.state == running { // it takes at least this long: the runs that end in time hide it
+				m.runs[r.Class].learn(m.now-r.started, runAlpha)
+			}
 		}
 		switch {
 		case r.state == held && (late || m.tooOld(r)):
