--- a/rules/rules.go
+++ b/rules/rules.go
@@ -53,6 +53,7 @@
 	retryValue    = 0.8                    // worth of a marked further try: it is older than it tells
 	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
 	pressureDown  = 0.02                   // pressure lost per say without refusals
+	pressureIdle  = 0.6                    // of the pressure stays a say while slots are free
 	refusedOK     = 0.03                   // share of refusals that is no pressure
 	lastOver      = 2.0                    // pressure from which the whole fleet is taken to be full
 	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
@@ -166,7 +167,7 @@
 	callSeen   time.Duration
 
 	wakeAt, stepAt, sayAt time.Duration
-	read, refused         int // since the last say
+	read, overflow        int // since the last say
 	pressure              float64
 	said                  float64
 	healthy               bool
@@ -412,6 +413,7 @@
 				worst = i
 			}
 		}
+		m.overflow++
 		m.turnAway(m.line[worst], m.pressure > lastOver && !m.sick())
 	}
 }
@@ -756,7 +758,6 @@
 		m.giveUp(r)
 		return
 	}
-	m.refused++
 	m.release(r)
 	m.drop(r)
 	m.host.Refuse(r.ID, m.advice(), last)
@@ -950,14 +951,15 @@
 func (m *Module) say() {
 	share := 0.0
 	if m.read > 0 {
-		share = float64(m.refused) / float64(m.read)
+		share = float64(m.overflow) / float64(m.read)
 	}
 	if share > refusedOK {
 		m.pressure = min(m.pressure+pressureUp*share*(1-m.pressure), 0.95)
-	} else {
-		m.pressure = max(m.pressure-pressureDown, 0)
+	} else if m.pressure -= pressureDown; len(m.line) == 0 && m.onCores < int(m.limit) {
+		m.pressure *= pressureIdle
 	}
-	m.read, m.refused = 0, 0
+	m.pressure = max(m.pressure, 0)
+	m.read, m.overflow = 0, 0
 	out := m.stalled || m.draining
 	if good := !out; good != m.healthy {
 		m.healthy = good
