--- a/rules/rules.go
+++ b/rules/rules.go
@@ -22,6 +22,10 @@
 	ageShare      = 0.25                   // age limit as a share of the class deadline
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
 	probeRuns     = 2                      // runs that start however slow the node seems
+	staleAge      = 0.7                    // of the aim gone before reading makes a request stale
+	staleAlpha    = 0.1                    // weight of a request in the stale share
+	staleOver     = 0.7                    // stale share from which callers are sent elsewhere
+	staleFade     = 0.9                    // of the stale share stays a say without reads: time to try again
 	limitGrow     = 1.08                   // growth a step while cores idle with work held
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.7                    // run latency over base that counts as crowded
@@ -48,14 +52,12 @@
 	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
 	stallMin      = 800 * time.Millisecond // and at least this long
 	abandonGaps   = 20.0                   // usual gaps after which running safe work is answered too
-	quotaSlack    = 1.25                   // a tenant's local share over its even share: traffic is uneven
-	quotaBurst    = 2.0                    // seconds of its quota a tenant may save up
-	retryValue    = 0.8                    // worth of a marked further try: it is older than it tells
+	tenantAlpha   = 0.01                   // weight of a request in its tenant's share of arrivals
+	tenantOver    = 1.5                    // times its share that a tenant may send: traffic is uneven
 	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
 	pressureDown  = 0.02                   // pressure lost per say without refusals
 	pressureIdle  = 0.6                    // of the pressure stays a say while slots are free
 	refusedOK     = 0.03                   // share of refusals that is no pressure
-	lastOver      = 2.0                    // pressure from which the whole fleet is taken to be full
 	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
 	adviceShare   = 0.3                    // of the time in which the line drains that advice names
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
@@ -152,8 +154,7 @@
 	cpuGauge, runGauge int // places of the gauges, -1 = none
 	cpuBusy, runnable  float64
 
-	tokens   []float64 // per tenant
-	refilled time.Duration
+	sent []float64 // smoothed share of arrivals per tenant
 
 	entries map[RequestID]*entry
 	expiry  [][]*entry // per class, oldest first
@@ -171,6 +172,7 @@
 	pressure              float64
 	said                  float64
 	healthy               bool
+	stale                 float64 // share of requests that were old when read
 
 	draining bool
 	notice   time.Duration
@@ -204,7 +206,7 @@
 		byID: map[RequestID]*request{}, entries: map[RequestID]*entry{},
 		runs: make([]pace, len(set.Classes)), hints: make([]float64, len(set.Classes)),
 		expiry: make([][]*entry, len(set.Classes)),
-		tokens: make([]float64, len(set.Tenants)), refilled: now, cpuGauge: -1, runGauge: -1,
+		sent:   make([]float64, len(set.Tenants)), cpuGauge: -1, runGauge: -1,
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
 	}
 	for i, name := range set.Gauges {
@@ -215,9 +217,6 @@
 			m.runGauge = i
 		}
 	}
-	for i := range m.tokens {
-		m.tokens[i] = quotaBurst * m.quota(i)
-	}
 	host.SetHealth(true, true)
 	m.wake()
 	return m, nil
@@ -239,7 +238,12 @@
 		return
 	}
 	m.setTimes(r)
-	r.overdue = m.takeToken(r)
+	r.overdue = m.overShare(r)
+	if float64(q.Age) > staleAge*float64(m.class(r).Aim) {
+		m.stale += staleAlpha * (1 - m.stale)
+	} else {
+		m.stale -= staleAlpha * m.stale
+	}
 	if m.tooLateToRun(r) || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 		m.turnAway(r, false)
 		return
@@ -305,28 +309,20 @@
 
 func (m *Module) keyMemory() float64 { return float64(len(m.entries)) * m.set.EntryKB }
 
-// quota is a tenant's even share on this node, requests a second.
-func (m *Module) quota(t int) float64 {
-	return quotaSlack * m.set.Tenants[t].QuotaPerSecond / float64(max(m.set.Nodes, 1))
-}
-
-// takeToken reports whether a request is beyond its tenant's share here. It
-// only marks: the mark counts when the line is full.
-func (m *Module) takeToken(r *request) bool {
-	if r.Tenant < 0 || r.Tenant >= len(m.tokens) || m.set.Tenants[r.Tenant].QuotaPerSecond <= 0 || r.Retry {
+// overShare reports whether a request's tenant sends far more than its share of
+// what comes here. It only marks: the mark counts where something must be lost.
+func (m *Module) overShare(r *request) bool {
+	if r.Tenant < 0 || r.Tenant >= len(m.sent) || r.Retry {
 		return false
 	}
-	if dt := (m.now - m.refilled).Seconds(); dt > 0 {
-		for i := range m.tokens {
-			m.tokens[i] = min(m.tokens[i]+dt*m.quota(i), quotaBurst*m.quota(i))
-		}
-		m.refilled = m.now
-	}
-	if m.tokens[r.Tenant] < 1 {
-		return true
+	total := 0.0
+	for i := range m.sent {
+		m.sent[i] *= 1 - tenantAlpha
+		total += m.sent[i]
 	}
-	m.tokens[r.Tenant]--
-	return false
+	m.sent[r.Tenant] += tenantAlpha
+	share := m.set.Tenants[r.Tenant].Share
+	return share > 0 && total > 0.5 && m.sent[r.Tenant] > tenantOver*share
 }
 
 // ---- hold ----
@@ -337,9 +333,6 @@
 	if m.stalled {
 		return 0
 	}
-	if m.errShare > failingOver {
-		return m.set.Cores
-	}
 	return int(max(m.limit, m.maxWait.Seconds()*m.drainRate))
 }
 
@@ -389,9 +382,6 @@
 	if r.overdue {
 		v *= m.set.OverShare
 	}
-	if r.Retry {
-		v *= retryValue
-	}
 	if m.set.WorthByWork {
 		return v
 	}
@@ -414,7 +404,7 @@
 			}
 		}
 		m.overflow++
-		m.turnAway(m.line[worst], m.pressure > lastOver && !m.sick())
+		m.turnAway(m.line[worst], false)
 	}
 }
 
@@ -440,9 +430,6 @@
 func (m *Module) start() {
 	crowd := m.crowd()
 	slots := int(min(m.limit, crowd))
-	if m.errShare > failingOver {
-		slots = min(slots, m.set.Cores)
-	}
 	for len(m.line) > 0 && m.onCores < slots && m.onCores+m.inCalls < int(crowd) && !m.stalled {
 		r := m.line[0]
 		if m.tooOld(r) {
@@ -947,6 +934,11 @@
 	}
 }
 
+// out reports that callers had better go elsewhere, whatever the cause: work
+// does not move, or reading lags so far that most of it is old when read, or
+// the node leaves.
+func (m *Module) out() bool { return m.stalled || m.draining || m.stale > staleOver }
+
 // say sets the free value and the health that callers are told.
 func (m *Module) say() {
 	share := 0.0
@@ -959,8 +951,11 @@
 		m.pressure *= pressureIdle
 	}
 	m.pressure = max(m.pressure, 0)
+	if m.read == 0 {
+		m.stale *= staleFade
+	}
 	m.read, m.overflow = 0, 0
-	out := m.stalled || m.draining
+	out := m.out()
 	if good := !out; good != m.healthy {
 		m.healthy = good
 		m.host.SetHealth(true, good)
