--- a/rules/rules.go
+++ b/rules/rules.go
@@ -537,8 +537,8 @@
 }
 
 // decideCalls gives each request that stands at a call its word. The call that
-// costs most to leave out goes first; a short line may wait for room, the rest
-// goes on without, or, where it must call, waits on.
+// costs most to leave out goes first. What finds no room waits in a line bounded
+// by max wait times the rate of calls; the rest goes on without, where it may.
 func (m *Module) decideCalls() {
 	if m.inCalls == m.callsOut {
 		return
@@ -550,7 +550,7 @@
 		}
 	}
 	slices.SortStableFunc(wait, func(a, b *request) int { return cmp.Compare(m.loss(b), m.loss(a)) })
-	spare := int(max(1, m.callLimit))
+	spare := int(max(1, m.callLimit*max(1, m.maxWait.Seconds()/max(m.called.mean, 0.001))))
 	for _, r := range wait {
 		c := m.class(r)
 		left := min(r.aim, r.due-m.margin()) - m.now
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -357,6 +357,7 @@
 	for id := RequestID(1); id <= 6; id++ {
 		b.m.NeedsCall(b.now, id)
 	}
+	b.m.called.mean = 2
 	b.settle()
 	if got := b.count("call "); got != 0 && got != 1 {
 		t.Errorf("%d calls out at a share of 0.3", got)
@@ -565,7 +566,7 @@
 
 func TestShortLineAtTheCallSkipsTheLeastLoss(t *testing.T) {
 	b := callBed(t, 8, func(s *Settings) { s.Classes[1].SkipWorth = 0.5 })
-	b.m.callLimit = 2
+	b.m.callLimit, b.m.called.mean = 2, 0.75 // the line at the call holds two
 	b.m.all[5].overdue = true
 	b.settle()
 	b.want("call 1", "call 2", "skip 6") // the two oldest call, what is beyond its share skips
