Let advice and credit follow the pressure

Also answers fast errors and any retry storm; harms where a single node overflows and is heeded fully. Tests for the stale state and the greedy tenant come along.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -60,8 +60,10 @@
 	refusedOK     = 0.03                   // share of refusals that is no pressure
 	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
 	adviceShare   = 0.3                    // of the time in which the line drains that advice names
+	adviceGrow    = 8.0                    // times that share more at full pressure: overload outlasts a line
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	callBuckets   = 25                     // steps of the sliding mean of calls
+	creditPart    = 0.6                    // of the credit is taken back at full pressure
 	weightPart    = 0.5                    // of the pressure that the weight passes on
 	creditSpread  = 1.5                    // credit over an even split: callers' traffic is uneven
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
@@ -780,7 +782,8 @@
 	m.host.Halt(r.ID)
 }
 
-// advice is the retry-after: a share of the time in which the line drains.
+// advice is the retry-after: a share of the time in which the line drains, and
+// several times that while overflow lasts, so that retries don't fill the cores.
 func (m *Module) advice() time.Duration {
 	if !m.set.HonoursRetry {
 		return 0
@@ -789,8 +792,8 @@
 	if m.draining || m.sick() {
 		return longest
 	}
-	wait := time.Duration(adviceShare * float64(len(m.line)) / max(m.drainRate, m.limit) * float64(time.Second))
-	return min(max(wait, minAdvice), longest)
+	wait := adviceShare * (1 + adviceGrow*m.pressure) * float64(len(m.line)) / max(m.drainRate, m.limit)
+	return min(max(time.Duration(wait*float64(time.Second)), minAdvice), longest)
 }
 
 // Gone tells that nobody waits for a request any more.
@@ -970,7 +973,8 @@
 			value = 1
 		}
 	case SayCredit:
-		value = max(1, creditSpread*(m.limit+float64(m.bound()))/float64(max(m.set.Callers, 1)))
+		fits := (m.limit + float64(m.bound())) / float64(max(m.set.Callers, 1))
+		value = max(1, creditSpread*(1-creditPart*m.pressure)*fits)
 		if out {
 			value = 0
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -581,3 +581,58 @@
 	b.pass(2500*ms, 1, 1)
 	b.want("skip 2")
 }
+
+func TestAdviceAndCreditFollowPressure(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.FreeValue = SayCredit })
+	for range 4 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.m.limit, b.m.drainRate = 12, 20
+	b.m.say()
+	calm, credit := b.m.advice(), b.say
+	b.m.read, b.m.overflow, b.m.pressure = 100, 60, 0.9
+	b.m.say()
+	if got := b.m.advice(); got <= calm || got > time.Second {
+		t.Errorf("advice %v under pressure, %v without, 1 s at most", got, calm)
+	}
+	if b.say >= credit {
+		t.Errorf("credit %v under pressure, %v without", b.say, credit)
+	}
+}
+
+func TestStaleReadsSendCallersElsewhere(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.FreeValue = SayWeight })
+	for range 40 {
+		b.arrive(0, func(q *Request) { q.Age = 2200 * ms })
+		b.settle()
+	}
+	b.pass(300*ms, 1, 2)
+	b.want("health true false")
+	if b.say != 0 {
+		t.Errorf("weight %v while all that is read is stale", b.say)
+	}
+	b.pass(5*time.Second, 0, 0)
+	b.want("health true true")
+	if b.m.out() {
+		t.Error("still out long after the last stale read")
+	}
+}
+
+func TestGreedyTenantLeavesFirst(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.Tenants = []Tenant{{Share: 0.5}, {Share: 0.5}} })
+	for i := range 400 { // tenant 0 sends nine in ten
+		id := b.arrive(0, func(q *Request) { q.Tenant = min(1, i%10/9) })
+		b.settle()
+		b.m.Ended(b.now, id, OK, 5*ms)
+		b.settle()
+	}
+	b.arrive(3, nil)
+	b.arrive(3, nil) // both cores busy
+	b.settle()
+	greedy := b.arrive(0, func(q *Request) { q.Tenant = 0 })
+	b.arrive(0, func(q *Request) { q.Tenant = 1 })
+	b.arrive(0, func(q *Request) { q.Tenant = 1 })
+	b.settle()
+	b.want(fmt.Sprint("refuse ", greedy))
+}
