Take runs 1.3 over base for crowded; refuse past 0.12 of the deadline

Cause: on a node bound by reading, more running work slows both, and a request that waited over a second has little left of its aim.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -19,7 +19,7 @@
 	sayEvery      = 200 * time.Millisecond // free value and pressure: a fifth of its usual life
 	pauseOver     = 60 * time.Millisecond  // a beat this late means that the process stood still
 	waitShare     = 0.30                   // max wait over the shortest aim: leaves most of it to run
-	ageShare      = 0.25                   // age limit as a share of the class deadline
+	ageShare      = 0.12                   // age limit as a share of the class deadline
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
 	probeRuns     = 2                      // runs that start however slow the node seems
 	staleAge      = 0.7                    // of the aim gone before reading makes a request stale
@@ -28,7 +28,7 @@
 	staleFade     = 0.9                    // of the stale share stays a say without reads: time to try again
 	limitGrow     = 1.08                   // growth a step while cores idle with work held
 	limitShrink   = 0.95                   // shrink a step while runs take too long
-	slowRatio     = 1.7                    // run latency over base that counts as crowded
+	slowRatio     = 1.3                    // run latency over base that counts as crowded
 	idleBelow     = 0.95                   // share of busy cores under which they count as idle
 	crowdMargin   = 0.85                   // of the crowd known to be survived: room for returns from calls
 	memoryMargin  = 0.88                   // of the memory: room for what is read meanwhile
