Give slots by worth while overflow lasts; fold leaving and gauges

Cause: with not all to be served, the oldest-first line let dear and cheap requests die alike. Acts from a pressure of 0.2; below it the oldest goes first. Harms a cheap class in a long overload.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -26,6 +26,7 @@
 	staleAlpha    = 0.1                    // weight of a request in the stale share
 	staleOver     = 0.7                    // stale share from which callers are sent elsewhere
 	staleFade     = 0.9                    // of the stale share stays a say without reads: time to try again
+	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
 	limitGrow     = 1.08                   // growth a step while cores idle with work held
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
@@ -153,8 +154,7 @@
 	progress  time.Duration // last sign that work moves
 	stalled   bool
 
-	cpuGauge, runGauge int // places of the gauges, -1 = none
-	cpuBusy, runnable  float64
+	cpuBusy, runnable float64 // gauges, -1 = not told
 
 	sent []float64 // smoothed share of arrivals per tenant
 
@@ -208,17 +208,9 @@
 		byID: map[RequestID]*request{}, entries: map[RequestID]*entry{},
 		runs: make([]pace, len(set.Classes)), hints: make([]float64, len(set.Classes)),
 		expiry: make([][]*entry, len(set.Classes)),
-		sent:   make([]float64, len(set.Tenants)), cpuGauge: -1, runGauge: -1,
+		sent:   make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
 	}
-	for i, name := range set.Gauges {
-		switch name {
-		case "cpu_busy":
-			m.cpuGauge = i
-		case "runnable":
-			m.runGauge = i
-		}
-	}
 	host.SetHealth(true, true)
 	m.wake()
 	return m, nil
@@ -428,12 +420,26 @@
 	return max(1, crowdMargin*float64(m.set.Cores)*(1+(mult-1)*speed))
 }
 
-// start gives free slots to the oldest held requests.
+// next is the place of the request that gets a free slot: the oldest, but while
+// overflow lasts, when not all can be served, the one that earns most for its
+// work, of equals the oldest.
+func (m *Module) next() int {
+	best := 0
+	for i := range m.line {
+		if m.pressure > worthFrom && m.value(m.line[i]) > m.value(m.line[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+// start gives free slots to held requests.
 func (m *Module) start() {
 	crowd := m.crowd()
 	slots := int(min(m.limit, crowd))
 	for len(m.line) > 0 && m.onCores < slots && m.onCores+m.inCalls < int(crowd) && !m.stalled {
-		r := m.line[0]
+		i := m.next()
+		r := m.line[i]
 		if m.tooOld(r) {
 			m.turnAway(r, true)
 			continue
@@ -442,7 +448,7 @@
 		if m.memory+grown+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 			return
 		}
-		m.line = m.line[1:]
+		m.line = slices.Delete(m.line, i, i+1)
 		m.memory += max(grown, 0)
 		r.state, r.ran, r.started = running, true, m.now
 		m.onCores++
@@ -472,10 +478,10 @@
 }
 
 func (m *Module) coresIdle(ratio float64) bool {
-	if m.cpuGauge < 0 && m.runGauge < 0 {
+	if m.cpuBusy < 0 && m.runnable < 0 {
 		return ratio < (1+slowRatio)/2
 	}
-	return (m.runGauge >= 0 && m.runnable < float64(m.set.Cores)) || (m.cpuGauge >= 0 && m.cpuBusy < idleBelow)
+	return m.runnable >= 0 && m.runnable < float64(m.set.Cores) || m.cpuBusy >= 0 && m.cpuBusy < idleBelow
 }
 
 // ratio is the mean over the classes that have one of run latency over base,
@@ -731,11 +737,10 @@
 		m.stalled = true
 		m.host.Log("no work moves: refusing")
 	}
-	if m.stalled && gaps > abandonGaps {
-		for _, r := range m.all {
-			if r.state == running && !r.answered && !r.over && m.class(r).Effect == Safe {
-				m.giveUp(r)
-			}
+	for _, r := range m.all {
+		if m.stalled && gaps > abandonGaps && r.state == running && !r.answered && !r.over &&
+			m.class(r).Effect == Safe {
+			m.giveUp(r)
 		}
 	}
 }
@@ -754,7 +759,7 @@
 
 // release frees the key of a request that will never run.
 func (m *Module) release(r *request) {
-	if e := m.entries[r.ID]; e != nil && !e.ran && !e.freed {
+	if e := m.entries[r.ID]; e != nil && !e.ran {
 		e.freed = true
 		m.host.Forget(r.ID)
 	}
@@ -763,8 +768,13 @@
 // giveUp answers a request that has run, or may have, with an error, and stops
 // safe work that nobody waits for.
 func (m *Module) giveUp(r *request) {
-	r.answered = true
 	m.host.Fail(r.ID)
+	m.letGo(r)
+}
+
+// letGo takes leave of a request to which no answer is owed any more.
+func (m *Module) letGo(r *request) {
+	r.answered = true
 	if r.state == held || r.state == reusing {
 		m.release(r)
 		m.drop(r)
@@ -775,11 +785,11 @@
 // stop halts safe work whose answer is out. Keyed and unsafe work goes on: its
 // effect is wanted.
 func (m *Module) stop(r *request) {
-	if r.state != running || r.halted || m.set.Preemption == PreemptNone || m.class(r).Effect != Safe {
-		return
+	able := r.state == running && !r.over && m.set.Preemption != PreemptNone
+	if able && !r.halted && m.class(r).Effect == Safe {
+		r.halted = true
+		m.host.Halt(r.ID)
 	}
-	r.halted = true
-	m.host.Halt(r.ID)
 }
 
 // advice is the retry-after: a share of the time in which the line drains, and
@@ -799,17 +809,9 @@
 // Gone tells that nobody waits for a request any more.
 func (m *Module) Gone(now time.Duration, id RequestID) {
 	m.now = now
-	r := m.byID[id]
-	if r == nil {
-		return
-	}
-	r.answered = true
-	if r.state == held || r.state == reusing {
-		m.release(r)
-		m.drop(r)
-		return
+	if r := m.byID[id]; r != nil {
+		m.letGo(r)
 	}
-	m.stop(r)
 }
 
 // margin is how long before it is due an answer must be decided.
@@ -820,9 +822,7 @@
 func (m *Module) expire() {
 	for _, r := range m.all {
 		if r.over || r.answered {
-			if r.answered && !r.over {
-				m.stop(r)
-			}
+			m.stop(r)
 			continue
 		}
 		late := m.now >= r.due-m.margin()
@@ -897,11 +897,13 @@
 // Woke is the one timer. It brings the gauges.
 func (m *Module) Woke(now time.Duration, _ uint64, gauges []float64) {
 	m.now = now
-	if m.cpuGauge >= 0 && m.cpuGauge < len(gauges) {
-		m.cpuBusy = gauges[m.cpuGauge]
-	}
-	if m.runGauge >= 0 && m.runGauge < len(gauges) {
-		m.runnable = gauges[m.runGauge]
+	for i, v := range gauges[:min(len(gauges), len(m.set.Gauges))] {
+		switch m.set.Gauges[i] {
+		case "cpu_busy":
+			m.cpuBusy = v
+		case "runnable":
+			m.runnable = v
+		}
 	}
 	if late := now - m.wakeAt; late > pauseOver { // the process stood still: nobody's fault here
 		m.progress += late
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -636,3 +636,21 @@
 	b.settle()
 	b.want(fmt.Sprint("refuse ", greedy))
 }
+
+func TestSlotGoesToTheOldestOrByWorthUnderPressure(t *testing.T) {
+	for _, c := range []struct {
+		pressure float64
+		want     string
+	}{{0, "run 3"}, {0.5, "run 4"}} {
+		b := newBed(t, func(s *Settings) { s.WorthByWork = true })
+		for range 3 {
+			b.arrive(0, nil)
+		}
+		b.arrive(1, nil) // worth twice as much
+		b.settle()
+		b.m.pressure = c.pressure
+		b.m.Ended(b.now, 1, OK, 50*ms)
+		b.settle()
+		b.want(c.want)
+	}
+}
