--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,6 +21,7 @@
 	waitShare     = 0.30                   // max wait over the shortest aim: leaves most of it to run
 	ageShare      = 0.12                   // age limit as a share of the class deadline
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
+	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	probeRuns     = 2                      // runs that start however slow the node seems
 	staleAge      = 0.7                    // of the aim gone before reading makes a request stale
 	staleAlpha    = 0.1                    // weight of a request in the stale share
@@ -120,10 +121,9 @@
 
 // entry is a kept key; it outlives its request.
 type entry struct {
-	id      RequestID
-	expires time.Duration
-	ran     bool
-	freed   bool
+	id         RequestID
+	expires    time.Duration
+	ran, freed bool
 }
 
 // Module decides for one node.
@@ -176,9 +176,8 @@
 	healthy               bool
 	stale                 float64 // share of requests that were old when read
 
-	draining bool
-	notice   time.Duration
-	stopAt   time.Duration
+	draining       bool
+	notice, stopAt time.Duration
 }
 
 // New starts a node's decisions.
@@ -348,7 +347,11 @@
 	if m.onCores+m.inCalls < probeRuns { // what the node can do now is only learned by trying
 		return left <= 0
 	}
-	return left < time.Duration(minRunShare*float64(m.usualRun(r)))
+	need := minRunShare * float64(m.usualRun(r))
+	if m.onCores < m.set.Cores && m.coresIdle(1) { // it would run faster than usual, and costs nobody
+		need = idleRunShare * float64(m.usualRun(r)) / m.runs[r.Class].slow()
+	}
+	return float64(left) < need
 }
 
 // usualRun is how long a request runs at present: its class's mean, moved by
@@ -413,10 +416,7 @@
 		done := min(1, float64(m.now-m.born)/float64(m.set.Ramp))
 		speed = m.set.ColdFrom + (1-m.set.ColdFrom)*done
 	}
-	mult := m.set.FallMultiple
-	if mult <= 1 {
-		mult = 2
-	}
+	mult := max(m.set.FallMultiple, 1)
 	return max(1, crowdMargin*float64(m.set.Cores)*(1+(mult-1)*speed))
 }
 
@@ -728,12 +728,9 @@
 		return
 	}
 	_, usual := m.ratio()
-	if usual == 0 {
-		return
-	}
 	quiet := m.now - m.progress
 	gaps := quiet.Seconds() * float64(m.onCores) / usual
-	if !m.stalled && gaps > stallGaps && quiet > stallMin {
+	if !m.stalled && usual > 0 && gaps > stallGaps && quiet > stallMin {
 		m.stalled = true
 		m.host.Log("no work moves: refusing")
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -654,3 +654,23 @@
 		b.want(c.want)
 	}
 }
+
+func TestIdleCoresTryWhatBusyOnesRefuse(t *testing.T) {
+	for _, c := range []struct {
+		gauges []float64
+		want   string
+	}{{[]float64{0.4, 3}, "run 4"}, {[]float64{1, 9}, "refuse 4"}} {
+		b := newBed(t, func(s *Settings) { s.Cores = 6; s.Classes[0].Aim = 2 * time.Second })
+		for range 20 {
+			b.m.runs[0].learn(time.Second, runAlpha)
+		}
+		for range 3 {
+			b.arrive(0, nil)
+		}
+		b.settle()
+		b.pass(50*ms, c.gauges...)
+		b.arrive(0, func(q *Request) { q.Age = 900 * ms }) // 1.1 s are left before an aim of 2 s: 1.4 runs don't fit
+		b.settle()
+		b.want(c.want)
+	}
+}
