--- a/rules/rules.go
+++ b/rules/rules.go
@@ -65,9 +65,8 @@
 	adviceGrow    = 8.0                    // times that share more at full pressure: overload outlasts a line
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	callBuckets   = 25                     // steps of the sliding mean of calls
-	creditPart    = 0.6                    // of the credit is taken back at full pressure
+	creditPart    = 0.6                    // of an even split is a caller's credit at full pressure
 	weightPart    = 0.5                    // of the pressure that the weight passes on
-	creditSpread  = 1.5                    // credit over an even split: callers' traffic is uneven
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
 
@@ -467,10 +466,10 @@
 	ratio, _ := m.ratio()
 	full := m.onCores >= int(m.limit)
 	switch {
-	case ratio > slowRatio:
-		m.limit *= limitShrink
 	case m.lineStood && full && m.coresIdle(ratio):
 		m.limit = max(m.limit+0.5, m.limit*limitGrow)
+	case ratio > slowRatio && !m.coresIdle(ratio): // waits, not crowding, make runs long on idle cores
+		m.limit *= limitShrink
 	}
 	m.limit = max(min(m.limit, m.crowd()), float64(m.set.Cores))
 	m.stepCalls()
@@ -972,8 +971,8 @@
 			value = 1
 		}
 	case SayCredit:
-		fits := (m.limit + float64(m.bound())) / float64(max(m.set.Callers, 1))
-		value = max(1, creditSpread*(1-creditPart*m.pressure)*fits)
+		even := creditPart / float64(max(m.set.Callers, 1))
+		value = max(1, (m.limit+float64(m.bound()))*(1-m.pressure*(1-even)))
 		if out {
 			value = 0
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -674,3 +674,21 @@
 		b.want(c.want)
 	}
 }
+
+func TestLimitDoesNotShrinkWhileCoresIdle(t *testing.T) {
+	b := newBed(t, nil)
+	b.m.limit = 8
+	b.m.runs[0] = pace{mean: 1, base: 0.2, n: 20}
+	b.pass(2*time.Second, 0.5, 1)
+	if b.m.limit != 8 {
+		t.Errorf("limit %v shrank on idle cores", b.m.limit)
+	}
+}
+
+func TestCreditIsWholeWithoutPressure(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.FreeValue = SayCredit })
+	b.m.say()
+	if want := b.m.limit + float64(b.m.bound()); b.say != want {
+		t.Errorf("credit %v, want the whole room %v: one caller may carry most of the traffic", b.say, want)
+	}
+}
