--- a/rules/rules.go
+++ b/rules/rules.go
@@ -42,7 +42,7 @@
 	callSlow      = 2.0                    // call latency over base that counts as crowded
 	callShrink    = 0.9                    // shrink of the call limit a step while crowded
 	callDrift     = 1.01                   // the call base creeps up a step: tenfold slower within half a minute
-	callAlpha     = 0.15                   // weight of a call in the call latency: fewer calls than runs
+	callAlpha     = 0.1                    // weight of a call in the call latency: fewer calls than runs
 	waitRunShare  = 0.8                    // usual runs that must be left to go on waiting for a call
 	callTries     = 2                      // calls made for one need before going on without
 	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
