--- a/rules/rules.go
+++ b/rules/rules.go
@@ -66,7 +66,7 @@
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	callBuckets   = 25                     // steps of the sliding mean of calls
 	creditPart    = 0.6                    // of an even split is a caller's credit at full pressure
-	weightPart    = 0.5                    // of the pressure that the weight passes on
+	weightPart    = 0.8                    // of the pressure that the weight passes on
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
 
