--- a/rules/rules.go
+++ b/rules/rules.go
@@ -22,11 +22,6 @@
 	ageShare      = 0.12                   // age limit as a share of the class deadline
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
-	probeRuns     = 2                      // runs that start however slow the node seems
-	staleAge      = 0.7                    // of the aim gone before reading makes a request stale
-	staleAlpha    = 0.1                    // weight of a request in the stale share
-	staleOver     = 0.7                    // stale share from which callers are sent elsewhere
-	staleFade     = 0.9                    // of the stale share stays a say without reads: time to try again
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
 	limitGrow     = 1.08                   // growth a step while cores idle with work held
 	limitShrink   = 0.95                   // shrink a step while runs take too long
@@ -49,18 +44,14 @@
 	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
 	learnRuns     = 12                     // runs of a class before its mean is believed
 	baseDrift     = 1.002                  // the base creeps up so that one lucky run is forgotten
-	errAlpha      = 0.06                   // weight of a run in the error share
-	failingOver   = 0.5                    // error share from which the node counts as failing
 	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
 	stallMin      = 800 * time.Millisecond // and at least this long
-	abandonGaps   = 20.0                   // usual gaps after which running safe work is answered too
 	tenantAlpha   = 0.01                   // weight of a request in its tenant's share of arrivals
 	tenantOver    = 1.5                    // times its share that a tenant may send: traffic is uneven
 	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
 	pressureDown  = 0.02                   // pressure lost per say without refusals
 	pressureIdle  = 0.6                    // of the pressure stays a say while slots are free
 	refusedOK     = 0.03                   // share of refusals that is no pressure
-	sickRatio     = 2.5                    // latency ratio from which the trouble is this node's own
 	adviceShare   = 0.3                    // of the time in which the line drains that advice names
 	adviceGrow    = 8.0                    // times that share more at full pressure: overload outlasts a line
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
@@ -146,10 +137,9 @@
 
 	limit     float64 // running limit
 	maxWait   time.Duration
-	drainRate float64 // successes a second while requests are held
-	drained   int     // successes since the last step
-	lineStood bool    // the line was never empty since the last step
-	errShare  float64
+	drainRate float64       // successes a second while requests are held
+	drained   int           // successes since the last step
+	lineStood bool          // the line was never empty since the last step
 	progress  time.Duration // last sign that work moves
 	stalled   bool
 
@@ -160,10 +150,9 @@
 	entries map[RequestID]*entry
 	expiry  [][]*entry // per class, oldest first
 
-	callLimit  float64 // calls this node may have out
-	called     pace    // call latency
-	callsShort bool    // a call had to wait or was left out since the last step
-	callBack   time.Duration
+	callLimit  float64              // calls this node may have out
+	called     pace                 // call latency
+	callsShort bool                 // a call had to wait or was left out since the last step
 	callTime   [callBuckets]float64 // seconds of calls held, per bucket
 	callBucket int64
 	callSeen   time.Duration
@@ -173,7 +162,6 @@
 	pressure              float64
 	said                  float64
 	healthy               bool
-	stale                 float64 // share of requests that were old when read
 
 	draining       bool
 	notice, stopAt time.Duration
@@ -231,11 +219,6 @@
 	}
 	m.setTimes(r)
 	r.overdue = m.overShare(r)
-	if float64(q.Age) > staleAge*float64(m.class(r).Aim) {
-		m.stale += staleAlpha * (1 - m.stale)
-	} else {
-		m.stale -= staleAlpha * m.stale
-	}
 	if m.tooLateToRun(r) || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 		m.turnAway(r, false)
 		return
@@ -343,9 +326,6 @@
 	if m.class(r).LateShare > 0 {
 		left = r.due - m.margin() - m.now
 	}
-	if m.onCores+m.inCalls < probeRuns { // what the node can do now is only learned by trying
-		return left <= 0
-	}
 	need := minRunShare * float64(m.usualRun(r))
 	if m.onCores < m.set.Cores && m.coresIdle(1) { // it would run faster than usual, and costs nobody
 		need = idleRunShare * float64(m.usualRun(r)) / m.runs[r.Class].slow()
@@ -500,11 +480,6 @@
 	return ratio / n, usual / n
 }
 
-func (m *Module) sick() bool {
-	ratio, _ := m.ratio()
-	return m.stalled || m.errShare > failingOver || ratio > sickRatio
-}
-
 // ---- call ----
 
 // NeedsCall tells that a running request stands at a call.
@@ -527,7 +502,6 @@
 		return
 	}
 	m.callsOut--
-	m.callBack = now
 	m.moved()
 	r.state, r.lastCall = atCall, o
 	if o == OK || o == TimedOut {
@@ -606,9 +580,6 @@
 	if float64(m.callsOut) >= max(1, m.callLimit) {
 		return false
 	}
-	if m.callLimit < 1 && (m.now-m.callBack).Seconds() < m.called.mean*(1/m.callLimit-1) {
-		return false // under one call on average: pause between them
-	}
 	sum := float64(m.callsOut+1) * min(timeout, m.set.CallWindow).Seconds()
 	for _, s := range m.callTime {
 		sum += s
@@ -686,24 +657,21 @@
 // learn takes a completion into account. Only successes teach the drain rate
 // and the latency: fast errors look like speed.
 func (m *Module) learn(r *request, o Outcome, took time.Duration) {
-	switch o {
-	case OK:
-		m.errShare -= errAlpha * m.errShare
-		m.drained++
-		p := &m.runs[r.Class]
-		if r.Hint > 0 {
-			dx, dy := r.Hint.Seconds()-m.hints[r.Class], took.Seconds()-p.mean
-			m.hints[r.Class] += max(runAlpha, 1/(p.n+1)) * dx
-			if p.n > 0 {
-				m.hintVar += runAlpha / 2 * (dx*dx - m.hintVar)
-				m.hintCov += runAlpha / 2 * (dx*dy - m.hintCov)
-			}
+	if o != OK {
+		return
+	}
+	m.drained++
+	p := &m.runs[r.Class]
+	if r.Hint > 0 {
+		dx, dy := r.Hint.Seconds()-m.hints[r.Class], took.Seconds()-p.mean
+		m.hints[r.Class] += max(runAlpha, 1/(p.n+1)) * dx
+		if p.n > 0 {
+			m.hintVar += runAlpha / 2 * (dx*dx - m.hintVar)
+			m.hintCov += runAlpha / 2 * (dx*dy - m.hintCov)
 		}
-		p.base *= baseDrift
-		p.learn(took, runAlpha)
-	case Failed:
-		m.errShare += errAlpha * (1 - m.errShare)
 	}
+	p.base *= baseDrift
+	p.learn(took, runAlpha)
 }
 
 // moved notes a sign of progress; after a stall, what was answered is stopped.
@@ -733,12 +701,6 @@
 		m.stalled = true
 		m.host.Log("no work moves: refusing")
 	}
-	for _, r := range m.all {
-		if m.stalled && gaps > abandonGaps && r.state == running && !r.answered && !r.over &&
-			m.class(r).Effect == Safe {
-			m.giveUp(r)
-		}
-	}
 }
 
 // turnAway refuses a request that never ran. Keyed work whose key may have run
@@ -795,7 +757,7 @@
 		return 0
 	}
 	longest := max(m.set.MaxRetryAfter, 0)
-	if m.draining || m.sick() {
+	if m.draining || m.stalled {
 		return longest
 	}
 	wait := adviceShare * (1 + adviceGrow*m.pressure) * float64(len(m.line)) / max(m.drainRate, m.limit)
@@ -935,11 +897,6 @@
 	}
 }
 
-// out reports that callers had better go elsewhere, whatever the cause: work
-// does not move, or reading lags so far that most of it is old when read, or
-// the node leaves.
-func (m *Module) out() bool { return m.stalled || m.draining || m.stale > staleOver }
-
 // say sets the free value and the health that callers are told.
 func (m *Module) say() {
 	share := 0.0
@@ -952,11 +909,8 @@
 		m.pressure *= pressureIdle
 	}
 	m.pressure = max(m.pressure, 0)
-	if m.read == 0 {
-		m.stale *= staleFade
-	}
 	m.read, m.overflow = 0, 0
-	out := m.out()
+	out := m.stalled || m.draining
 	if good := !out; good != m.healthy {
 		m.healthy = good
 		m.host.SetHealth(true, good)
