--- a/rules/rules.go
+++ b/rules/rules.go
@@ -536,7 +536,10 @@
 		c := m.class(r)
 		left := min(r.aim, r.due-m.margin()) - m.now
 		timeout := max(time.Duration(callPart*float64(left)), m.set.Tick)
-		mayCall := r.calls == 0 || r.calls < callTries && (r.lastCall.NeverRan() || c.Effect == Safe)
+		// A failed call is repeated only where nothing is earned without it: repeats
+		// swamp what lies below just when it is short.
+		mayCall := r.calls == 0 || c.SkipWorth <= 0 && r.calls < callTries &&
+			(r.lastCall.NeverRan() || c.Effect == Safe)
 		switch {
 		case !mayCall && c.SkipWorth <= 0:
 			m.giveUp(r)
