Let the running limit grow 3% a step

Cause: the gauge looks half a second back, so at 8% a step the limit overshot into crowding before it was told. Tried without gain on top: shrinking 8 or 10% a step, idle from 0.9, the slow gauge alone. Harm: the first seconds of a burst on a quiet node.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -23,7 +23,8 @@
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
-	limitGrow     = 1.08                   // growth a step while cores idle with work held
+	limitGrow     = 1.03                   // growth a step while cores idle with work held
+	limitAdd      = 0.18                   // least growth a step: a small limit gets on too
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
 	idleBelow     = 0.95                   // share of busy cores under which they count as idle
@@ -447,7 +448,7 @@
 	full := m.onCores >= int(m.limit)
 	switch {
 	case m.lineStood && full && m.coresIdle(ratio):
-		m.limit = max(m.limit+0.5, m.limit*limitGrow)
+		m.limit = max(m.limit+limitAdd, m.limit*limitGrow)
 	case ratio > slowRatio && !m.coresIdle(ratio): // waits, not crowding, make runs long on idle cores
 		m.limit *= limitShrink
 	}
