--- a/rules/rules.go
+++ b/rules/rules.go
@@ -37,7 +37,7 @@
 	callFloor     = 0.05                   // of the share is the least call limit: it probes
 	callSlow      = 2.0                    // call latency over base that counts as crowded
 	callShrink    = 0.9                    // shrink of the call limit a step while crowded
-	callDrift     = 1.01                   // the call base creeps up a step: tenfold slower within half a minute
+	callDrift     = 1.001                  // the call base creeps up a step: faster, it would hide crowding
 	callAlpha     = 0.1                    // weight of a call in the call latency: fewer calls than runs
 	waitRunShare  = 0.8                    // usual runs that must be left to go on waiting for a call
 	callTries     = 2                      // calls made for one need before going on without
@@ -168,8 +168,8 @@
 	notice, stopAt time.Duration
 }
 
-// New starts a node's decisions.
-func New(now time.Duration, set Settings, seed uint64, host Host) (*Module, error) {
+// New starts a node's decisions. The seed is not used: nothing here is random.
+func New(now time.Duration, set Settings, _ uint64, host Host) (*Module, error) {
 	switch {
 	case set.Cores < 1:
 		return nil, errors.New("settings: a node needs at least one core")
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -669,3 +669,18 @@
 		t.Errorf("credit %v, want the whole room %v: one caller may carry most of the traffic", b.say, want)
 	}
 }
+
+func TestCallBaseDoesNotChaseCrowding(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.Below = BelowShared })
+	for range 20 {
+		b.m.called.learn(50*ms, callAlpha)
+	}
+	for range 300 { // half a minute of calls four times as long
+		b.m.called.learn(200*ms, callAlpha)
+		b.m.callsShort = true
+		b.pass(100*ms, 1, 1)
+	}
+	if b.m.callLimit >= callFirst*b.m.set.CallShare {
+		t.Errorf("limit %.2f grew back while calls stayed slow", b.m.callLimit)
+	}
+}
