--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,6 +57,10 @@
 	adviceGrow    = 8.0                    // times that share more at full pressure: overload outlasts a line
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	callBuckets   = 25                     // steps of the sliding mean of calls
+	staleAge      = 0.5                    // of the aim gone before reading makes a request stale
+	staleAlpha    = 0.1                    // weight of a request in the stale share
+	staleOver     = 0.7                    // stale share from which callers are sent elsewhere
+	staleFade     = 0.97                   // of the stale share stays a say without reads: then tried again
 	creditPart    = 0.6                    // of an even split is a caller's credit at full pressure
 	weightPart    = 0.8                    // of the pressure that the weight passes on
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
@@ -163,6 +167,7 @@
 	pressure              float64
 	said                  float64
 	healthy               bool
+	stale                 float64 // share of requests that were old when read
 
 	draining       bool
 	notice, stopAt time.Duration
@@ -218,6 +223,10 @@
 		m.host.Fail(r.ID)
 		return
 	}
+	m.stale -= staleAlpha * m.stale
+	if float64(q.Age) > staleAge*float64(m.class(r).Aim) {
+		m.stale += staleAlpha
+	}
 	m.setTimes(r)
 	r.overdue = m.overShare(r)
 	if m.tooLateToRun(r) || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
@@ -914,7 +923,13 @@
 	}
 	m.pressure = max(m.pressure, 0)
 	m.read, m.overflow = 0, 0
-	out := m.stalled || m.draining
+	if m.read == 0 {
+		m.stale *= staleFade
+	}
+	// Callers had better go elsewhere while work does not move, while reading lags
+	// so far that most of it is old when read (a slow machine, a long accept
+	// queue), and while the node leaves.
+	out := m.stalled || m.draining || m.stale > staleOver
 	if good := !out; good != m.healthy {
 		m.healthy = good
 		m.host.SetHealth(true, good)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -684,3 +684,18 @@
 		t.Errorf("limit %.2f grew back while calls stayed slow", b.m.callLimit)
 	}
 }
+
+func TestStaleReadsSendCallersElsewhere(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.FreeValue = SayWeight })
+	for range 40 {
+		b.arrive(0, func(q *Request) { q.Age = 1400 * ms })
+		b.settle()
+	}
+	b.pass(300*ms, 1, 2)
+	b.want("health true false")
+	if b.say != 0 {
+		t.Errorf("weight %v while all that is read is stale", b.say)
+	}
+	b.pass(5*time.Second, 0, 0)
+	b.want("health true true") // tried again after a while without reads
+}
