--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -699,3 +699,69 @@
 	b.pass(5*time.Second, 0, 0)
 	b.want("health true true") // tried again after a while without reads
 }
+
+func TestFirstRunsRaiseNoFalseStall(t *testing.T) {
+	b := newBed(t, nil)
+	for range 3 { // the first to end are the shortest
+		id := b.arrive(0, nil)
+		b.settle()
+		b.m.Ended(b.now, id, OK, 10*ms)
+	}
+	b.arrive(0, nil)
+	b.arrive(0, nil)
+	b.settle()
+	b.pass(1200*ms, 1, 2)
+	if b.m.stalled {
+		t.Error("three short runs made usual ones look stalled")
+	}
+}
+
+func TestHintMovesTheUsualRun(t *testing.T) {
+	b := newBed(t, nil)
+	for i := range 60 {
+		hint := time.Duration(100+100*(i%4)) * ms
+		id := b.arrive(0, func(q *Request) { q.Hint = hint })
+		b.settle()
+		b.m.Ended(b.now, id, OK, 200*ms+2*hint) // a wait that does not grow, and half speed
+		b.settle()
+	}
+	small := b.m.usualRun(&request{Request: Request{Hint: 100 * ms}})
+	big := b.m.usualRun(&request{Request: Request{Hint: 1200 * ms}})
+	if small > 600*ms || big < 1800*ms {
+		t.Errorf("usual runs %v and %v, want about 400 ms and 2.6 s", small, big)
+	}
+	id := b.arrive(0, func(q *Request) { q.Hint = 1200 * ms }) // 3.6 s with room, and the aim is 2.5 s
+	b.pass(25*ms, 1, 9)
+	b.want(fmt.Sprint("refuse ", id))
+}
+
+func TestWeightAndLevelFollowPressure(t *testing.T) {
+	for kind, want := range map[FreeValue]float64{SayWeight: 1 - weightPart*0.5, SayLevel: 0.5} {
+		b := newBed(t, func(s *Settings) { s.FreeValue = kind })
+		b.m.pressure = 0.5 + pressureDown
+		b.arrive(0, nil)
+		b.arrive(0, nil)
+		b.arrive(0, nil)
+		b.settle() // the cores are taken and one waits: nothing is free
+		b.m.say()
+		if diff := b.say - want; diff > 0.01 || diff < -0.01 {
+			t.Errorf("free value %v says %v at half pressure, want %v", kind, b.say, want)
+		}
+	}
+}
+
+func TestRunsStoppedAtTheirAimTeach(t *testing.T) {
+	b := newBed(t, nil)
+	for range 20 {
+		b.m.runs[0].learn(200*ms, runAlpha)
+	}
+	for range 2 {
+		b.arrive(0, nil)
+	}
+	b.settle()
+	b.pass(2600*ms, 1, 2)
+	b.want("fail 1", "halt 1", "fail 2")
+	if got := b.m.runs[0].mean; got < 0.4 {
+		t.Errorf("usual run %.2f s after two that took over 2.5 s", got)
+	}
+}
