Close idle connections after the time that costs least

Cause: at full size each of a thousand callers sends a node one request in minutes. Three callers that return within a second want the opposite.

The node learns from the time since each caller was last heard what idle limits from 0.25 to 32 s would cost, in new connections, a connection held open for 6 s counting as one, and sets the cheapest. Also guards any node with many rare callers; does harm when callers change their ways faster than a hundred requests.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -63,6 +63,10 @@
 	staleFade     = 0.97                   // of the stale share stays a say without reads: then tried again
 	creditPart    = 0.6                    // of an even split is a caller's credit at full pressure
 	weightPart    = 0.8                    // of the pressure that the weight passes on
+	idleWorth     = 6 * time.Second        // open and idle this long, a connection costs as much as a new one
+	idleShortest  = 250 * time.Millisecond // shortest idle limit considered: longer than a round trip
+	idleSteps     = 8                      // idle limits considered, each twice the one before: up to 32 s
+	idleAlpha     = 0.01                   // weight of a request in what an idle limit costs: a hundred requests
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
 
@@ -116,7 +120,6 @@
 
 // entry is a kept key; it outlives its request.
 type entry struct {
-	id         RequestID
 	expires    time.Duration
 	ran, freed bool
 }
@@ -153,7 +156,6 @@
 	sent []float64 // smoothed share of arrivals per tenant
 
 	entries map[RequestID]*entry
-	expiry  [][]*entry // per class, oldest first
 
 	callLimit  float64              // calls this node may have out
 	called     pace                 // call latency
@@ -169,6 +171,11 @@
 	healthy               bool
 	stale                 float64 // share of requests that were old when read
 
+	lastFrom map[uint32]time.Duration // when each caller was last heard
+	idleCost [idleSteps]float64       // what each idle limit costs a request, in new connections
+	idleN    [idleSteps]float64
+	idleSaid time.Duration
+
 	draining       bool
 	notice, stopAt time.Duration
 }
@@ -199,8 +206,8 @@
 		callLimit: callFirst * set.CallShare, maxWait: time.Duration(waitShare * float64(shortest)),
 		byID: map[RequestID]*request{}, entries: map[RequestID]*entry{},
 		runs: make([]pace, len(set.Classes)), hints: make([]float64, len(set.Classes)),
-		expiry: make([][]*entry, len(set.Classes)),
-		sent:   make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
+		sent: make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
+		lastFrom: map[uint32]time.Duration{},
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
 	}
 	host.SetHealth(true, true)
@@ -218,6 +225,7 @@
 	m.byID[q.ID] = r
 	m.all = append(m.all, r)
 	m.memory += q.KB
+	m.hear(q.Caller)
 	if q.Class >= len(m.set.Classes) { // an unknown class: nothing is known of its rules
 		m.drop(r)
 		m.host.Fail(r.ID)
@@ -238,6 +246,43 @@
 	}
 }
 
+// hear learns from the time since a caller was last heard what each idle limit
+// would cost: a connection held idle takes a part of the cores, and one closed
+// too early is opened anew.
+func (m *Module) hear(caller uint32) {
+	last, known := m.lastFrom[caller]
+	if !known {
+		last = m.born
+	}
+	m.lastFrom[caller] = m.now
+	gap := m.now - last
+	for i := range m.idleCost {
+		limit := idleShortest << i
+		cost := min(gap, limit).Seconds() / idleWorth.Seconds()
+		if gap > limit {
+			cost++
+		} else if !known {
+			break // not heard long enough to tell
+		}
+		m.idleN[i]++
+		m.idleCost[i] += max(idleAlpha, 1/m.idleN[i]) * (cost - m.idleCost[i])
+	}
+}
+
+// closeIdle sets the idle limit that costs least of those heard long enough.
+func (m *Module) closeIdle() {
+	limit, least := time.Duration(0), math.Inf(1)
+	for i, cost := range m.idleCost {
+		if m.idleN[i] >= learnRuns && cost < least {
+			limit, least = min(idleShortest<<i, m.set.KeepaliveMax), cost
+		}
+	}
+	if limit != m.idleSaid {
+		m.idleSaid = limit
+		m.host.CloseIdle(limit)
+	}
+}
+
 // setTimes works out when the answer is due and until when it is wanted. Where
 // callers pass no patience, the class deadline counts from the machine.
 func (m *Module) setTimes(r *request) {
@@ -285,9 +330,7 @@
 	} else if m.keyMemory() > keyMemory*m.set.MemoryKB/2 {
 		return true
 	}
-	e := &entry{id: r.ID, expires: m.now + span}
-	m.entries[r.ID] = e
-	m.expiry[r.Class] = append(m.expiry[r.Class], e)
+	m.entries[r.ID] = &entry{expires: m.now + span}
 	m.host.Keep(r.ID, span)
 	return true
 }
@@ -617,9 +660,6 @@
 
 // countCalls adds the calls held since last time to the sliding window.
 func (m *Module) countCalls() {
-	if m.set.CallWindow <= 0 {
-		return
-	}
 	width := m.set.CallWindow / (callBuckets - 1)
 	if width <= 0 {
 		return
@@ -891,7 +931,6 @@
 		m.say()
 		m.sayAt = now + sayEvery
 	}
-	m.forgetKeys()
 	m.wake()
 }
 
@@ -901,17 +940,17 @@
 }
 
 func (m *Module) forgetKeys() {
-	for c, q := range m.expiry {
-		for len(q) > 0 && q[0].expires < m.now {
-			delete(m.entries, q[0].id)
-			q = q[1:]
+	for id, e := range m.entries {
+		if e.expires < m.now {
+			delete(m.entries, id)
 		}
-		m.expiry[c] = q
 	}
 }
 
 // say sets the free value and the health that callers are told.
 func (m *Module) say() {
+	m.forgetKeys()
+	m.closeIdle()
 	share := 0.0
 	if m.read > 0 {
 		share = float64(m.overflow) / float64(m.read)
@@ -934,26 +973,20 @@
 		m.healthy = good
 		m.host.SetHealth(true, good)
 	}
-	value := 0.0
+	value, none := 0.0, 0.0
 	switch m.set.FreeValue {
 	case SayNone:
 		return
 	case SayLevel:
-		value = m.pressure
-		if out {
-			value = 1
-		}
+		value, none = m.pressure, 1
 	case SayCredit:
 		even := creditPart / float64(max(m.set.Callers, 1))
 		value = max(1, (m.limit+float64(m.bound()))*(1-m.pressure*(1-even)))
-		if out {
-			value = 0
-		}
 	case SayWeight:
 		value = 1 - weightPart*m.pressure
-		if out {
-			value = 0
-		}
+	}
+	if out {
+		value = none
 	}
 	if math.Abs(value-m.said) > 0.005 {
 		m.said = value
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -45,7 +45,7 @@
 func (b *bed) Reuse(id RequestID)                    { b.add("reuse %d", id) }
 func (b *bed) SetHealth(stored, good bool)           { b.add("health %v %v", stored, good) }
 func (b *bed) Say(v float64)                         { b.say = v; b.add("say") }
-func (b *bed) CloseIdle(after time.Duration)         { b.add("idle") }
+func (b *bed) CloseIdle(after time.Duration)         { b.add("idle %v", after) }
 func (b *bed) Wake(token uint64, in time.Duration)   { b.wake = b.now + in }
 func (b *bed) Log(line string)                       {}
 
@@ -765,3 +765,25 @@
 		t.Errorf("usual run %.2f s after two that took over 2.5 s", got)
 	}
 }
+
+func TestIdleLimitFollowsReuse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		callers  int
+		from, to time.Duration // the limit lies between
+	}{
+		"few callers come back soon":      {3, 500 * ms, 30 * time.Second},
+		"dozens come back within seconds": {30, 4 * time.Second, 30 * time.Second},
+		"hundreds of callers seldom do":   {900, idleShortest, idleShortest},
+	} {
+		b := newBed(t, func(s *Settings) { s.KeepaliveMax, s.Callers = 30*time.Second, tc.callers })
+		for i := range 400 {
+			b.pass(100 * ms)
+			id := b.arrive(0, func(q *Request) { q.Caller = uint32(i % tc.callers) })
+			b.settle()
+			b.m.Ended(b.now, id, OK, 50*ms)
+		}
+		if got := b.m.idleSaid; got < tc.from || got > tc.to {
+			t.Errorf("%s: idle limit %v, want %v to %v", name, got, tc.from, tc.to)
+		}
+	}
+}
