End the walks of callers under lasting overflow

An overflowing marked retry is refused with the wish to try no further node from pressure 0.3 on, any request from 0.6. Does harm when this node alone is full: the request ends although others have room.

--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -787,3 +787,26 @@
 		}
 	}
 }
+
+func TestWalksEndUnderLastingOverflow(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pressure float64
+		retry    bool
+		last     bool
+	}{
+		"a passing overflow":               {0.1, true, false},
+		"a retry under lasting overflow":   {0.4, true, true},
+		"a first try under the same":       {0.4, false, false},
+		"a first try under heavy overflow": {0.7, false, true},
+	} {
+		b := newBed(t, nil)
+		b.m.pressure = tc.pressure
+		for range 12 {
+			b.arrive(0, func(q *Request) { q.Retry = tc.retry })
+		}
+		b.settle()
+		if refused, last := b.count("refuse "), b.count("last "); refused == 0 || (last == refused) != tc.last {
+			t.Errorf("%s: %d refused, %d of them last, want last %v", name, refused, last, tc.last)
+		}
+	}
+}
