--- a/rules/rules.go
+++ b/rules/rules.go
@@ -56,8 +56,8 @@
 	adviceShare   = 0.3                    // of the time in which the line drains that advice names
 	adviceGrow    = 8.0                    // times that share more at full pressure: overload outlasts a line
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
-	lastRetry     = 0.3                    // pressure from which an overflowing retry is to try no further node
-	lastAll       = 0.6                    // and any overflowing request: in a large fleet a walk costs ten reads
+	lastRetry     = 0.3                    // pressure from which an overflowing retry is to try no other node
+	lastAll       = 0.6                    // and any overflowing request: a walk in a large fleet costs ten reads
 	callBuckets   = 25                     // steps of the sliding mean of calls
 	staleAge      = 0.5                    // of the aim gone before reading makes a request stale
 	staleAlpha    = 0.1                    // weight of a request in the stale share
