Fade the stale share only at says without reads

The say cleared the count of reads before it looked at it, so the share faded always, against its comment and the docs.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -57,7 +57,7 @@
 	adviceGrow    = 8.0                    // times that share more at full pressure: overload outlasts a line
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	lastRetry     = 0.3                    // pressure from which an overflowing retry is to try no other node
-	lastAll       = 0.6                    // and any overflowing request: a walk in a large fleet costs ten reads
+	lastAll       = 0.6                    // and any overflowing request: a walk in a large fleet is ten reads
 	callBuckets   = 25                     // steps of the sliding mean of calls
 	staleAge      = 0.5                    // of the aim gone before reading makes a request stale
 	staleAlpha    = 0.1                    // weight of a request in the stale share
@@ -963,10 +963,10 @@
 		m.pressure *= pressureIdle
 	}
 	m.pressure = max(m.pressure, 0)
-	m.read, m.overflow = 0, 0
 	if m.read == 0 {
 		m.stale *= staleFade
 	}
+	m.read, m.overflow = 0, 0
 	// Callers had better go elsewhere while work does not move, while reading lags
 	// so far that most of it is old when read (a slow machine, a long accept
 	// queue), and while the node leaves.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -810,3 +810,19 @@
 		}
 	}
 }
+
+func TestStaleFadesOnlyWithoutReads(t *testing.T) {
+	for name, reads := range map[string]bool{"with reads": true, "without": false} {
+		b := newBed(t, nil)
+		b.m.stale = 1
+		for range 10 {
+			if reads {
+				b.arrive(0, func(q *Request) { q.Age = 2 * time.Second })
+			}
+			b.pass(sayEvery)
+		}
+		if faded := b.m.stale < 0.9; faded == reads {
+			t.Errorf("%s: stale share %v", name, b.m.stale)
+		}
+	}
+}
