--- a/rules/rules.go
+++ b/rules/rules.go
@@ -24,7 +24,7 @@
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
 	limitGrow     = 1.03                   // growth a step while cores idle with work held
-	limitAdd      = 0.18                   // least growth a step: a small limit gets on too
+	limitAdd      = 0.08                   // least growth a step: a small limit gets on too
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
 	idleBelow     = 0.95                   // share of busy cores under which they count as idle
@@ -43,7 +43,7 @@
 	callTries     = 2                      // calls made for one need before going on without
 	rateAlpha     = 0.06                   // weight of a step in the drain rate: about 1.5 s of memory
 	runAlpha      = 0.08                   // weight of a run in its class latency: about a dozen runs
-	learnRuns     = 12                     // runs of a class before its mean is believed
+	learnRuns     = 5                      // runs of a class before its mean is believed: a small node sees few
 	baseDrift     = 1.002                  // the base creeps up so that one lucky run is forgotten
 	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
 	stallMin      = 800 * time.Millisecond // and at least this long
