Keep idle connections longer where that costs little

Cause: with a handful of callers all idle limits above their usual gap cost the same, and the shortest was taken; callers that paused for a second had to connect anew.

The longest limit within 0.1 of the cheapest is set, and each request from a caller not heard before counts as missed by all limits.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -68,7 +68,8 @@
 	idleWorth     = 6 * time.Second        // open and idle this long, a connection costs as much as a new one
 	idleShortest  = 250 * time.Millisecond // shortest idle limit considered: longer than a round trip
 	idleSteps     = 8                      // idle limits considered, each twice the one before: up to 32 s
-	idleAlpha     = 0.01                   // weight of a request in what an idle limit costs: a hundred requests
+	idleSlack     = 0.1                    // cost over the least that a longer idle limit may have
+	idleAlpha     = 0.02                   // weight of a request in what an idle limit costs: a hundred requests
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
 
@@ -175,7 +176,6 @@
 
 	lastFrom map[uint32]time.Duration // when each caller was last heard
 	idleCost [idleSteps]float64       // what each idle limit costs a request, in new connections
-	idleN    [idleSteps]float64
 	idleSaid time.Duration
 
 	draining       bool
@@ -211,6 +211,10 @@
 		sent: make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
 		lastFrom: map[uint32]time.Duration{},
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
+		idleSaid: set.KeepaliveMax,
+	}
+	for i := range m.idleCost {
+		m.idleCost[i] = 1
 	}
 	host.SetHealth(true, true)
 	m.wake()
@@ -257,26 +261,23 @@
 		last = m.born
 	}
 	m.lastFrom[caller] = m.now
-	gap := m.now - last
 	for i := range m.idleCost {
-		limit := idleShortest << i
+		gap, limit := m.now-last, idleShortest<<i
 		cost := min(gap, limit).Seconds() / idleWorth.Seconds()
-		if gap > limit {
+		if gap > limit || !known {
 			cost++
-		} else if !known {
-			break // not heard long enough to tell
 		}
-		m.idleN[i]++
-		m.idleCost[i] += max(idleAlpha, 1/m.idleN[i]) * (cost - m.idleCost[i])
+		m.idleCost[i] += idleAlpha * (cost - m.idleCost[i])
 	}
 }
 
-// closeIdle sets the idle limit that costs least of those heard long enough.
+// closeIdle sets the longest idle limit that costs little more than the
+// cheapest: a connection missed also costs its caller time.
 func (m *Module) closeIdle() {
-	limit, least := time.Duration(0), math.Inf(1)
+	limit, least := m.set.KeepaliveMax, slices.Min(m.idleCost[:])
 	for i, cost := range m.idleCost {
-		if m.idleN[i] >= learnRuns && cost < least {
-			limit, least = min(idleShortest<<i, m.set.KeepaliveMax), cost
+		if cost < least+idleSlack {
+			limit = min(idleShortest<<i, m.set.KeepaliveMax)
 		}
 	}
 	if limit != m.idleSaid {
@@ -351,8 +352,8 @@
 		total += m.sent[i]
 	}
 	m.sent[r.Tenant] += tenantAlpha
-	share := m.set.Tenants[r.Tenant].Share
-	return share > 0 && total > 0.5 && m.sent[r.Tenant] > tenantOver*share
+	limit := tenantOver * m.set.Tenants[r.Tenant].Share
+	return limit > 0 && total > 0.5 && m.sent[r.Tenant] > limit
 }
 
 // ---- hold ----
@@ -499,9 +500,8 @@
 		m.drainRate += rateAlpha * (float64(m.drained)/dt.Seconds() - m.drainRate)
 	}
 	ratio, _ := m.ratio()
-	full := m.onCores >= int(m.limit)
 	switch {
-	case m.lineStood && full && m.coresIdle(ratio):
+	case m.lineStood && m.onCores >= int(m.limit) && m.coresIdle(ratio):
 		m.limit = max(m.limit+limitAdd, m.limit*limitGrow)
 	case ratio > slowRatio && !m.coresIdle(ratio): // waits, not crowding, make runs long on idle cores
 		m.limit *= limitShrink
@@ -732,12 +732,13 @@
 // moved notes a sign of progress; after a stall, what was answered is stopped.
 func (m *Module) moved() {
 	m.progress = m.now
-	if m.stalled {
-		m.stalled = false
-		m.host.Log("work moves again")
-		for _, r := range m.all {
-			r.halted = false
-		}
+	if !m.stalled {
+		return
+	}
+	m.stalled = false
+	m.host.Log("work moves again")
+	for _, r := range m.all {
+		r.halted = false
 	}
 }
 
@@ -971,9 +972,9 @@
 	// so far that most of it is old when read (a slow machine, a long accept
 	// queue), and while the node leaves.
 	out := m.stalled || m.draining || m.stale > staleOver
-	if good := !out; good != m.healthy {
-		m.healthy = good
-		m.host.SetHealth(true, good)
+	if out == m.healthy {
+		m.healthy = !out
+		m.host.SetHealth(true, !out)
 	}
 	value, none := 0.0, 0.0
 	switch m.set.FreeValue {
