--- a/rules/rules.go
+++ b/rules/rules.go
@@ -371,10 +371,7 @@
 // passed, or what is left before its aim is too short to run it.
 func (m *Module) tooOld(r *request) bool {
 	limit := time.Duration(ageShare * float64(m.class(r).Deadline))
-	if m.now-r.arrived-r.excused > limit {
-		return true
-	}
-	return m.hopeless(r)
+	return m.now-r.arrived-r.excused > limit || m.hopeless(r)
 }
 
 func (m *Module) hopeless(r *request) bool {
