Let connection tables fill for a minute once handshakes swamp the cores

Cause: refused attempts come back to servers that hold no connection for them, and each costs a handshake; seven of the nine things that want a core are handshakes, runs take four times as long, so all that is read looks too late to start. Told apart by the count of runnable things less runs: 3 to 5 a core in collapse, under 1.5 in good states, where slow servers refuse most reads too.

From a mean of 3 a core over five seconds the node closes no idle connection for a minute: a full table turns callers away for nothing. Also guards floods of new callers. Does harm when the swamp was short: a full table taxes the cores.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -69,7 +69,10 @@
 	idleShortest  = 250 * time.Millisecond // shortest idle limit considered: longer than a round trip
 	idleSteps     = 8                      // idle limits considered, each twice the one before: up to 32 s
 	idleSlack     = 0.1                    // cost over the least that a longer idle limit may have
-	idleAlpha     = 0.02                   // weight of a request in what an idle limit costs: a hundred requests
+	swampAlpha    = 0.005                  // weight of a beat in the swamp: five seconds, short ones pass by themselves
+	swampOver     = 3.0                    // reads and new connections a core that count as a swamp
+	doorHold      = 60 * time.Second       // from a swamp on tables may fill for so long: then tried again
+	idleAlpha     = 0.02                   // weight of a request in what an idle limit costs: fifty requests
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
 
@@ -174,6 +177,8 @@
 	healthy               bool
 	stale                 float64 // share of requests that were old when read
 
+	swamp    float64                  // what wants a core besides runs, for each core, smoothed
+	door     time.Duration            // until then tables may fill
 	lastFrom map[uint32]time.Duration // when each caller was last heard
 	idleCost [idleSteps]float64       // what each idle limit costs a request, in new connections
 	idleSaid time.Duration
@@ -213,9 +218,6 @@
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
 		idleSaid: set.KeepaliveMax,
 	}
-	for i := range m.idleCost {
-		m.idleCost[i] = 1
-	}
 	host.SetHealth(true, true)
 	m.wake()
 	return m, nil
@@ -272,11 +274,15 @@
 }
 
 // closeIdle sets the longest idle limit that costs little more than the
-// cheapest: a connection missed also costs its caller time.
+// cheapest: a connection missed also costs its caller time. In a swamp of
+// handshakes it closes none: a full table turns callers away for nothing.
 func (m *Module) closeIdle() {
+	if m.swamp > swampOver {
+		m.door = m.now + doorHold
+	}
 	limit, least := m.set.KeepaliveMax, slices.Min(m.idleCost[:])
 	for i, cost := range m.idleCost {
-		if cost < least+idleSlack {
+		if cost < least+idleSlack || m.now < m.door {
 			limit = min(idleShortest<<i, m.set.KeepaliveMax)
 		}
 	}
@@ -386,9 +392,8 @@
 	return float64(left) < need
 }
 
-// usualRun is how long a request runs at present: its class's mean, moved by
-// its own hint along a slope learned over all classes, so that a rare class
-// with a few odd runs is not taken for slow and refused for ever.
+// usualRun is how long a request runs at present: its class's mean, moved by its
+// own hint along a slope over all classes: one class may have a few odd runs.
 func (m *Module) usualRun(r *request) time.Duration {
 	l := m.runs[r.Class]
 	if l.n == 0 {
@@ -569,9 +574,8 @@
 	}
 }
 
-// decideCalls gives each request that stands at a call its word. The call that
-// costs most to leave out goes first. What finds no room waits in a line bounded
-// by max wait times the rate of calls; the rest goes on without, where it may.
+// decideCalls gives each request at a call its word, the dearest to leave out
+// first. What finds no room waits in a line bounded like the other, or skips.
 func (m *Module) decideCalls() {
 	if m.inCalls == m.callsOut {
 		return
@@ -622,9 +626,8 @@
 	return v
 }
 
-// roomToCall keeps calls under their own bounds: what the crowd allows, the
-// limit learned from call latency, and this node's share of a shared dependency
-// even if every call out lasts to its timeout.
+// roomToCall keeps calls under what the crowd allows, the learned limit, and
+// this node's share below even if every call out lasts to its timeout.
 func (m *Module) roomToCall(timeout time.Duration) bool {
 	if float64(m.callsOut) >= m.crowd()-float64(m.set.Cores) {
 		return false
@@ -642,9 +645,8 @@
 	return sum <= callMargin*m.set.CallShare*m.set.CallWindow.Seconds()
 }
 
-// stepCalls moves the call limit by the law of the running limit: a crowded
-// dependency shows in its latency long before it falls over. The base follows
-// a dependency that has become slow for good.
+// stepCalls moves the call limit by the law of the running limit. The base
+// follows a dependency that has become slow for good.
 func (m *Module) stepCalls() {
 	switch {
 	case m.called.slow() > callSlow:
@@ -706,8 +708,7 @@
 	m.drop(r)
 }
 
-// learn takes a completion into account. Only successes teach the drain rate
-// and the latency: fast errors look like speed.
+// learn takes a run into account. Only successes teach: fast errors look like speed.
 func (m *Module) learn(r *request, o Outcome, took time.Duration) {
 	if o != OK {
 		return
@@ -739,8 +740,7 @@
 	}
 }
 
-// watch looks for a stall: many usual gaps between completions went by without
-// any sign of progress, whatever the cause.
+// watch looks for a stall: many usual gaps went by without a sign of progress.
 func (m *Module) watch() {
 	if m.onCores == 0 {
 		m.progress = m.now
@@ -828,8 +828,8 @@
 // margin is how long before it is due an answer must be decided.
 func (m *Module) margin() time.Duration { return beat + 2*m.set.Tick }
 
-// expire answers what can't wait: everything before it is due, held work past
-// its age limit, and running safe work whose answer would be worth nothing.
+// expire answers what can't wait: all before it is due, held work past its age
+// limit, and running safe work whose answer would be worth nothing.
 func (m *Module) expire() {
 	for _, r := range m.all {
 		if r.over || r.answered {
@@ -922,6 +922,7 @@
 			r.excused += late
 		}
 	}
+	m.swamp += swampAlpha * (max(m.runnable-float64(m.onCores), 0)/float64(m.set.Cores) - m.swamp)
 	m.watch()
 	if now >= m.stepAt {
 		m.step(now - m.stepAt + stepEvery)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -826,3 +826,24 @@
 		}
 	}
 }
+
+func TestSwampOfHandshakesLetsTablesFill(t *testing.T) {
+	for name, tc := range map[string]struct {
+		runnable float64
+		want     time.Duration
+	}{
+		"a few reads":         {2, time.Second},
+		"handshakes in heaps": {12, 30 * time.Second},
+	} {
+		b := newBed(t, func(s *Settings) { s.KeepaliveMax = 30 * time.Second })
+		for i := range 400 {
+			b.pass(100*ms, 1, tc.runnable)
+			id := b.arrive(0, func(q *Request) { q.Caller = uint32(i) })
+			b.settle()
+			b.m.Ended(b.now, id, OK, 50*ms)
+		}
+		if b.m.idleSaid > tc.want || b.m.idleSaid < tc.want/4 {
+			t.Errorf("%s: idle limit %v, want about %v", name, b.m.idleSaid, tc.want)
+		}
+	}
+}
