Count a marked retry for less where something must be lost

Cause: near saturation most of what a server reads are retries.

Harms a retry that would be the first in time: it leaves before younger requests.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -72,6 +72,7 @@
 	swampAlpha    = 0.005                  // weight of a beat in the swamp: 5 s, short ones pass by themselves
 	swampOver     = 3.0                    // reads and new connections a core that count as a swamp
 	doorHold      = 60 * time.Second       // from a swamp on tables may fill for so long: then tried again
+	retryWorth    = 0.4                    // worth of a marked retry over a first try: it may be late
 	idleAlpha     = 0.02                   // weight of a request in what an idle limit costs: fifty requests
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
@@ -410,20 +411,25 @@
 	return usual
 }
 
-// value is what serving a held request earns for each unit of work.
-func (m *Module) value(r *request) float64 {
+// worth is what serving a request earns. A marked retry counts less: its client
+// has waited before, nobody tells how long, and its answer may be late already.
+func (m *Module) worth(r *request) float64 {
 	v := m.class(r).Worth
 	if r.overdue {
 		v *= m.set.OverShare
 	}
-	if m.set.WorthByWork {
-		return v
+	if r.Retry {
+		v *= retryWorth
 	}
-	cost := r.Hint
-	if cost <= 0 {
-		cost = m.usualRun(r)
+	return v
+}
+
+// value is what serving a held request earns for each unit of work.
+func (m *Module) value(r *request) float64 {
+	if m.set.WorthByWork {
+		return m.worth(r)
 	}
-	return v / max(cost.Seconds(), 0.001)
+	return m.worth(r) / max(m.usualRun(r).Seconds(), 0.001)
 }
 
 // shed refuses held requests until the line is within its bound: the one that
@@ -618,13 +624,7 @@
 }
 
 // loss is what leaving a request's call out costs.
-func (m *Module) loss(r *request) float64 {
-	v := m.class(r).Worth * (1 - m.class(r).SkipWorth)
-	if r.overdue {
-		v *= m.set.OverShare
-	}
-	return v
-}
+func (m *Module) loss(r *request) float64 { return m.worth(r) * (1 - m.class(r).SkipWorth) }
 
 // roomToCall keeps calls under what the crowd allows, the learned limit, and
 // this node's share below even if every call out lasts to its timeout.
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -847,3 +847,18 @@
 		}
 	}
 }
+
+func TestMarkedRetriesLeaveAFullLineFirst(t *testing.T) {
+	b := newBed(t, nil)
+	retry := func(q *Request) { q.Retry = true }
+	b.arrive(0, nil) // these two fill the cores
+	b.arrive(0, nil)
+	b.settle()
+	old := b.arrive(0, retry)
+	first := b.arrive(0, nil)
+	dear := b.arrive(1, retry)
+	b.arrive(0, nil)
+	b.settle()
+	b.want(fmt.Sprintf("refuse %d", old), fmt.Sprintf("refuse %d", dear))
+	b.wantNot(fmt.Sprintf("refuse %d", first))
+}
