--- /dev/null
+++ b/cmd/robinmast/config.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"robinmast/internal/settings"
+	"robinmast/rules"
+)
+
+// config is what the platform tells a node.
+type config struct {
+	Name    string  `json:"name"`
+	Listen  string  `json:"listen"`
+	Pool    string  `json:"pool"`
+	Members string  `json:"members"`
+	Seed    string  `json:"seed"`
+	StopMs  float64 `json:"stop_ms"`
+	Limits  struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Settings json.RawMessage `json:"settings"`
+
+	set   rules.Settings
+	names settings.Names
+	seed  uint64
+}
+
+// Where the platform sets no limit, these hold.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultStop     = 3 * time.Second
+)
+
+// load reads and checks the configuration that EDGE_CONFIG names.
+func load(env func(string) string) (*config, error) {
+	path := env("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	return parse(text, env)
+}
+
+func parse(text []byte, env func(string) string) (*config, error) {
+	c := &config{}
+	if err := json.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if c.Name == "" {
+		c.Name = env("EDGE_NAME")
+	}
+	if c.Listen == "" {
+		c.Listen = env("EDGE_LISTEN")
+	}
+	if c.Name == "" {
+		return nil, errors.New("configuration: no name")
+	}
+	for key, addr := range map[string]string{"listen": c.Listen, "pool": c.Pool, "members": c.Members} {
+		if err := checkAddress(addr); err != nil {
+			return nil, fmt.Errorf("configuration: %s address %q: %w", key, addr, err)
+		}
+	}
+	if c.Seed != "" {
+		seed, err := strconv.ParseUint(c.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("configuration: seed %q is no hexadecimal number of 64 bits", c.Seed)
+		}
+		c.seed = seed
+	}
+	if c.StopMs < 0 || c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
+		return nil, errors.New("configuration: a limit below 0")
+	}
+	if c.Limits.MemoryMB == 0 {
+		c.Limits.MemoryMB = defaultMemoryMB
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	var err error
+	if c.set, c.names, err = settings.ParseNamed(c.Settings); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return c, c.check()
+}
+
+// check refuses settings that this program can't serve.
+func (c *config) check() error {
+	switch {
+	case c.set.Below != rules.BelowNone:
+		return errors.New("configuration: settings: extra.below: calls below have no protocol here")
+	case c.set.Preemption == rules.PreemptPause:
+		return errors.New("configuration: settings: extra.preemption: pausing has no protocol here")
+	case c.set.Tick <= 0 || c.set.Tick > time.Second:
+		return fmt.Errorf("configuration: settings: tickMs: %v is no usable tick", c.set.Tick)
+	}
+	seen := map[string]bool{}
+	for _, name := range c.names.Classes {
+		if name == "" || seen[name] {
+			return fmt.Errorf("configuration: settings: class name %q is empty or used twice", name)
+		}
+		seen[name] = true
+	}
+	seen = map[string]bool{}
+	for _, name := range c.names.Tenants {
+		if name == "" || seen[name] {
+			return fmt.Errorf("configuration: settings: tenant name %q is empty or used twice", name)
+		}
+		seen[name] = true
+	}
+	if _, err := rules.New(0, c.set, 0, silent{}); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	return nil
+}
+
+func checkAddress(addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New("no IP address")
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.New("no port")
+	}
+	return nil
+}
+
+// stop is the time from the notice to leave until the process is killed.
+func (c *config) stop() time.Duration {
+	if c.StopMs == 0 {
+		return defaultStop
+	}
+	return time.Duration(min(c.StopMs, 3.6e6) * float64(time.Millisecond))
+}
+
+// silent is a host that does nothing, to try settings on the module.
+type silent struct{}
+
+func (silent) Run(rules.RequestID)                         {}
+func (silent) Halt(rules.RequestID)                        {}
+func (silent) Refuse(rules.RequestID, time.Duration, bool) {}
+func (silent) Fail(rules.RequestID)                        {}
+func (silent) Call(rules.RequestID, time.Duration)         {}
+func (silent) Skip(rules.RequestID)                        {}
+func (silent) Keep(rules.RequestID, time.Duration)         {}
+func (silent) Forget(rules.RequestID)                      {}
+func (silent) Reuse(rules.RequestID)                       {}
+func (silent) SetHealth(bool, bool)                        {}
+func (silent) Say(float64)                                 {}
+func (silent) CloseIdle(time.Duration)                     {}
+func (silent) Wake(uint64, time.Duration)                  {}
+func (silent) Log(string)                                  {}
--- /dev/null
+++ b/cmd/robinmast/counters.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+	"runtime"
+	"syscall"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/pool"
+	"robinmast/internal/stream"
+)
+
+// count logs every counter on one line. Requests read are the sum of served,
+// refused, failed, cancelled, gone and in_hand; answers queued that of sent,
+// dropped and what still waits; connections opened that of all ends and open.
+func (p *parts) count(log *slog.Logger, line string) {
+	l, f, k := p.ledger, p.front, p.pool
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	var use syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &use) // zeros, should it fail
+	cpu := time.Duration(use.Utime.Nano() + use.Stime.Nano())
+	log.Info(line,
+		slog.Group("requests",
+			"read", l.Read.Load(), "served", l.Count(exchange.WasServed), "refused", l.Count(exchange.WasRefused),
+			"failed", l.Count(exchange.WasFailed), "cancelled", l.Count(exchange.WasCancelled),
+			"gone", l.Count(exchange.WasGone), "in_hand", l.InHand(), "late_answers", l.Late.Load()),
+		slog.Group("dispatchers",
+			"calls", f.Counters.Calls.Load(), "malformed", f.Counters.Malformed.Load(),
+			"cancels", f.Counters.Cancels.Load(), "cancels_unmatched", f.Counters.Unmatched.Load(),
+			"health", f.Counters.Health.Load(), "unknown", f.Counters.Unknown.Load(),
+			"accept_failures", f.Counters.Accepts.Load(), "open", f.Conns(), traffic(&f.Traffic)),
+		slog.Group("pool",
+			"links", k.Counters.Links.Load(), "dial_failures", k.Counters.Dials.Load(),
+			"spawned", k.Counters.Spawned.Load(), "respawned", k.Counters.Respawns.Load(),
+			"suspended", k.Counters.Suspends.Load(), "complete", k.Counters.Finished[pool.Complete].Load(),
+			"error", k.Counters.Finished[pool.Error].Load(), "cancelled", k.Counters.Finished[pool.Cancelled].Load(),
+			"moot", k.Counters.Finished[pool.Moot].Load(), "rejected", k.Counters.Rejected.Load(),
+			"running", k.Runs(), "bad_lines", k.Counters.Bad.Load(), "lost_notices", k.Counters.Gaps.Load(),
+			traffic(&k.Traffic)),
+		slog.Group("members", "sent", p.report.Sent.Load(), "failed", p.report.Failed.Load()),
+		slog.Group("process",
+			"cpu", cpu, "max_rss_kb", use.Maxrss, "heap_kb", m.HeapAlloc>>10, "from_os_kb", m.Sys>>10,
+			"gc", m.NumGC, "goroutines", runtime.NumGoroutine(), "descriptors", descriptors(),
+			"module_resets", p.node.Resets.Load()),
+	)
+}
+
+func traffic(t *stream.Traffic) slog.Attr {
+	args := []any{
+		"opened", t.Opened.Load(), "bytes_in", t.BytesIn.Load(), "bytes_out", t.BytesOut.Load(),
+		"queued", t.Queued.Load(), "sent", t.Sent.Load(), "dropped", t.Dropped.Load(),
+	}
+	for _, e := range stream.Ends() {
+		if n := t.Ended[e].Load(); n > 0 {
+			args = append(args, "end_"+e.String(), n)
+		}
+	}
+	return slog.Group("link", args...)
+}
+
+// descriptors is the number of open file descriptors, 0 if it can't be told.
+func descriptors() int {
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return 0
+	}
+	return len(list)
+}
--- /dev/null
+++ b/cmd/robinmast/main.go
@@ -0,0 +1,166 @@
+// Command robinmast is one real node: the decision module behind real sockets.
+// This file owns its start, its signals and its exit; it wires the parts
+// together and must never decide about a request or touch a connection.
+//
+// SIGTERM and SIGINT are the notice to leave, SIGUSR1 logs the counters.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/front"
+	"robinmast/internal/members"
+	"robinmast/internal/node"
+	"robinmast/internal/pool"
+)
+
+// Mechanics of the process.
+const (
+	heapShare    = 0.7                    // of the memory limit that Go's own limit takes: stacks and the kernel need some
+	gcPercent    = 100                    // measured: see docs/results.md
+	ownSockets   = 32                     // descriptors for everything but dispatchers' connections
+	outShare     = 8                      // part of the memory that all out rings may take: 1 of so many
+	keyShare     = 8                      // part of the memory that kept results may take: 1 of so many
+	exitMargin   = 250 * time.Millisecond // from the last answers to the stop: to flush and exit
+	drainPoll    = 5 * time.Millisecond   // how often a leaving node looks whether it is done
+	quietExit    = 100 * time.Millisecond // nothing may come in for so long before it leaves early
+	flushTimeout = 150 * time.Millisecond // for the last answers
+)
+
+func main() {
+	cfg, err := load(os.Getenv)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "robinmast: %v\n", err)
+		os.Exit(2)
+	}
+	limit(cfg)
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "robinmast: listen: %v\n", err)
+		os.Exit(1)
+	}
+	if err := serve(cfg, ln, signals, log); err != nil {
+		log.Error("node failed", "err", err)
+		os.Exit(1)
+	}
+}
+
+// limit keeps the process within what the platform grants.
+func limit(cfg *config) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
+	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+}
+
+// parts are the pieces of a running node.
+type parts struct {
+	ledger *exchange.Ledger
+	front  *front.Server
+	pool   *pool.Link
+	report *members.Reporter
+	node   *node.Node
+}
+
+// serve runs the node until it has left.
+func serve(cfg *config, ln net.Listener, signals <-chan os.Signal, log *slog.Logger) error {
+	memory := int64(cfg.Limits.MemoryMB * (1 << 20))
+	p := &parts{ledger: &exchange.Ledger{}, report: members.New(cfg.Members, cfg.Name, log)}
+	p.node = node.New(node.Config{
+		Settings: cfg.set, Seed: cfg.seed, KeyBytes: int(memory / keyShare), Health: p.report.SetUp, Log: log,
+	})
+	p.front = front.New(front.Config{
+		Settings: cfg.set, Names: cfg.names, MaxConns: max(cfg.Limits.Sockets-ownSockets, 1),
+		OutBytes: memory / outShare, Log: log,
+	}, p.node, p.ledger)
+	p.pool = pool.New(cfg.Pool, p.node, log)
+	p.node.Attach(p.front, p.pool)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 2)
+	var running sync.WaitGroup
+	start := func(f func()) { running.Go(f) }
+	start(func() {
+		if err := p.node.Run(ctx); err != nil {
+			failed <- err
+		}
+	})
+	start(func() {
+		if err := p.front.Serve(ctx, ln); err != nil {
+			failed <- err
+		}
+	})
+	start(func() { p.pool.Run(ctx) })
+	start(func() { p.report.Run(ctx) })
+	log.Info("node started", "listen", cfg.Listen, "pool", cfg.Pool, "members", cfg.Members,
+		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
+
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case sig := <-signals:
+			if sig == syscall.SIGUSR1 {
+				p.count(log, "counters")
+				continue
+			}
+			p.drain(cfg, log, signals)
+			p.front.Shut()
+			cancel()
+			running.Wait()
+			p.count(log, "node stopped")
+			return nil
+		}
+	}
+}
+
+// drain leaves: everything read is answered and sent before it returns, and it
+// returns before the process would be killed.
+func (p *parts) drain(cfg *config, log *slog.Logger, signals <-chan os.Signal) {
+	notice := time.Now()
+	stop := cfg.stop()
+	left := max(stop-exitMargin, stop/2)
+	log.Info("notice to leave", "stop", stop, "in_hand", p.ledger.InHand())
+	p.node.Drain(left)
+	p.front.Fin()
+	grace := min(cfg.set.DrainGrace, left)
+	tick := time.NewTicker(drainPoll)
+	defer tick.Stop()
+	refusing, quiet, read := false, notice, p.ledger.Read.Load()
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGUSR1 {
+				p.count(log, "counters")
+			}
+		case <-tick.C:
+		}
+		since := time.Since(notice)
+		if !refusing && since >= grace { // what comes from now on would not run
+			refusing = true
+			p.front.StopListening()
+		}
+		if now := p.ledger.Read.Load(); now != read || p.ledger.InHand() > 0 || !p.front.Flushed() {
+			read, quiet = now, time.Now()
+		}
+		if refusing && time.Since(quiet) > quietExit || since >= left+flushTimeout {
+			break
+		}
+	}
+	log.Info("leaving", "after", time.Since(notice), "in_hand", p.ledger.InHand(), "flushed", p.front.Flushed())
+}
--- a/cmd/simhost/fleet.go
+++ b/cmd/simhost/fleet.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"robinmast/internal/settings"
 	"robinmast/internal/simwire"
 	"robinmast/rules"
 )
@@ -104,11 +105,11 @@
 	f.nodes[who] = n
 	f.touch(n)
 	n.build(func() error {
-		settings, err := simwire.ParseSettings(text)
+		set, err := settings.Parse(text)
 		if err != nil {
 			return err
 		}
-		n.module, err = rules.New(b.Clock, settings, rec.U64(1), &host{&n.actions})
+		n.module, err = rules.New(b.Clock, set, rec.U64(1), &host{&n.actions})
 		return err
 	})
 	return nil
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,556 @@
+// Package front owns the connections to dispatchers: it accepts them, reads
+// requests, cancels and health checks with redcon, and sends answers through
+// each connection's out ring. It must never decide what becomes of a request,
+// never run one, and never keep anything of one beyond its connection.
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/settings"
+	"robinmast/internal/stream"
+	"robinmast/rules"
+)
+
+// Mechanics of connections; none of them decides about a request.
+const (
+	maxOpen      = 32                    // requests open on one connection
+	inLimit      = 16 << 10              // in ring: one message and what was read beyond it
+	outLimit     = 160 << 10             // out ring: the answers of all open requests
+	sweepEvery   = 50 * time.Millisecond // idle and stalled connections are looked for
+	finWait      = 2 * time.Second       // for a dispatcher to close after `0 FIN`
+	partialLimit = 10 * time.Second      // for the rest of a message, if nothing is open
+	partialMost  = 30 * time.Second      // and in any case
+	acceptPause  = 20 * time.Millisecond // while no descriptor is free
+	complainGap  = 2 * time.Second       // between log lines about bad input
+)
+
+// Sink takes what dispatchers send. Its methods must not block.
+type Sink interface {
+	Arrived(*exchange.Exchange)
+	Gone(*exchange.Exchange)
+}
+
+// Config is what a Server needs.
+type Config struct {
+	Settings rules.Settings
+	Names    settings.Names
+	MaxConns int   // connections held at once; more wait to be accepted
+	OutBytes int64 // memory of all out rings together
+	Log      *slog.Logger
+}
+
+// Counters are what the front counts besides its traffic.
+type Counters struct {
+	Calls     atomic.Int64 // CALL messages
+	Cancels   atomic.Int64 // CANCEL messages
+	Unmatched atomic.Int64 // of those, for a tag that is not open
+	Health    atomic.Int64 // HEALTH messages
+	Malformed atomic.Int64 // requests that could not be read, each answered as failed
+	Unknown   atomic.Int64 // other commands
+	Accepts   atomic.Int64 // failures to accept
+}
+
+// Server is the side towards dispatchers.
+type Server struct {
+	Counters Counters
+	Traffic  stream.Traffic
+
+	cfg    Config
+	lanes  lanes
+	sink   Sink
+	ledger *exchange.Ledger
+
+	good     atomic.Bool
+	feedback atomic.Pointer[string]
+	idle     atomic.Int64 // idle limit, nanoseconds
+
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	room    chan struct{} // poked when a connection ends
+	leaving bool
+	listen  net.Listener
+
+	complained atomic.Int64
+	muted      atomic.Int64
+}
+
+// New returns a server that hands what it reads to sink.
+func New(cfg Config, sink Sink, ledger *exchange.Ledger) *Server {
+	s := &Server{
+		cfg: cfg, lanes: newLanes(cfg.Settings, cfg.Names), sink: sink, ledger: ledger,
+		clients: map[*client]struct{}{}, room: make(chan struct{}, 1),
+	}
+	s.Traffic.HeldLimit = cfg.OutBytes
+	s.good.Store(true)
+	s.idle.Store(int64(cfg.Settings.KeepaliveMax))
+	return s
+}
+
+// SetHealth sets what health checks are told.
+func (s *Server) SetHealth(good bool) { s.good.Store(good) }
+
+// Say sets the free value that goes out with every answer and health check.
+func (s *Server) Say(value float64) {
+	text := "feedback=" + strconv.FormatFloat(value, 'f', 4, 64)
+	s.feedback.Store(&text)
+}
+
+// CloseIdle sets how long a connection may carry nothing.
+func (s *Server) CloseIdle(after time.Duration) {
+	if after <= 0 {
+		after = s.cfg.Settings.KeepaliveMax
+	}
+	s.idle.Store(int64(after))
+}
+
+// Serve accepts connections from ln until ctx ends or the server leaves.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	s.mu.Lock()
+	s.listen = ln
+	s.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	go s.sweep(ctx)
+	rs := redcon.NewServer(ln.Addr().String(), s.command, s.accepted, s.closed)
+	if err := rs.Serve(&listener{Listener: ln, s: s, ctx: ctx}); err != nil {
+		return fmt.Errorf("serve dispatchers: %w", err)
+	}
+	return nil
+}
+
+// listener wraps accepted connections, so that all bytes pass their rings, and
+// keeps accept errors from redcon, which would try again at once and for ever.
+type listener struct {
+	net.Listener
+	s   *Server
+	ctx context.Context
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		for l.ctx.Err() == nil && l.s.full() {
+			select {
+			case <-l.s.room:
+			case <-l.ctx.Done():
+			case <-time.After(acceptPause):
+			}
+		}
+		c, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			return l.s.wrap(c), nil
+		case errors.Is(err, net.ErrClosed):
+			return nil, err
+		}
+		l.s.Counters.Accepts.Add(1)
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			l.s.complain("no descriptor for a new connection", err)
+		} else {
+			l.s.complain("accept failed", err)
+		}
+		select {
+		case <-l.ctx.Done():
+			return nil, net.ErrClosed
+		case <-time.After(acceptPause):
+		}
+	}
+}
+
+func (s *Server) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg.MaxConns > 0 && len(s.clients) >= s.cfg.MaxConns
+}
+
+// complain logs bad input at a bounded rate.
+func (s *Server) complain(what string, err error) {
+	now, last := time.Now().UnixNano(), s.complained.Load()
+	if now-last < int64(complainGap) || !s.complained.CompareAndSwap(last, now) {
+		s.muted.Add(1)
+		return
+	}
+	s.cfg.Log.Warn(what, "err", err, "muted", s.muted.Swap(0))
+}
+
+// client is one dispatcher's connection.
+type client struct {
+	*stream.Conn
+	s *Server
+
+	mu      sync.Mutex
+	open    map[uint64]*exchange.Exchange
+	used    time.Time // when it last carried something
+	fin     time.Time // when it was told that no new request may come
+	readEnd stream.End
+	readErr error
+}
+
+func (s *Server) wrap(c net.Conn) *client {
+	cl := &client{s: s, open: map[uint64]*exchange.Exchange{}, used: time.Now()}
+	cl.Conn = stream.New(c, &stream.RESP{}, inLimit, outLimit, &s.Traffic, cl.ended)
+	s.mu.Lock()
+	s.clients[cl] = struct{}{}
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving {
+		cl.sayFin()
+	}
+	return cl
+}
+
+// Read notes how reading ended, for Close.
+func (c *client) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.mu.Lock()
+		if c.readEnd == stream.StillOpen {
+			c.readEnd, c.readErr = stream.EndOf(err, stream.ReadFailed), err
+		}
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// Write takes what redcon itself would send, which is nothing but replies to
+// broken framing; those connections end without one.
+func (c *client) Write(p []byte) (int, error) { return len(p), nil }
+
+// Close is called by redcon: when its reader has ended, and for every
+// connection when the listener closes. Only the first means anything here. A
+// dispatcher that closed its side in order is still sent what it is owed.
+func (c *client) Close() error {
+	c.mu.Lock()
+	end, err, open := c.readEnd, c.readErr, len(c.open)
+	c.mu.Unlock()
+	switch {
+	case end == stream.StillOpen:
+		return nil
+	case end.Outcome() == rules.OK:
+		if open == 0 {
+			c.Finish(end)
+		}
+		return nil
+	}
+	if end == stream.BadFraming || end == stream.TooLong {
+		c.s.complain("broken input from a dispatcher", err)
+	}
+	c.Shut(end)
+	return nil
+}
+
+// ended lets go of what was open when the connection ended.
+func (c *client) ended(end stream.End) {
+	c.mu.Lock()
+	open := c.open
+	c.open = nil
+	c.mu.Unlock()
+	for _, x := range open {
+		if x.Abandon(exchange.WasGone) {
+			c.s.sink.Gone(x)
+		}
+	}
+	c.s.mu.Lock()
+	delete(c.s.clients, c)
+	c.s.mu.Unlock()
+	select {
+	case c.s.room <- struct{}{}:
+	default:
+	}
+	if len(open) > 0 {
+		c.s.cfg.Log.Debug("connection ended with requests open", "end", end.String(), "open", len(open))
+	}
+}
+
+func (s *Server) accepted(conn redcon.Conn) bool {
+	cl, ok := conn.NetConn().(*client)
+	if !ok {
+		return false
+	}
+	conn.SetContext(cl)
+	return true
+}
+
+func (s *Server) closed(redcon.Conn, error) {}
+
+// command takes one message; cmd lives only during the call.
+func (s *Server) command(conn redcon.Conn, cmd redcon.Command) {
+	c, ok := conn.Context().(*client)
+	if !ok || len(cmd.Args) == 0 {
+		return
+	}
+	var tag []byte
+	if len(cmd.Args) > 1 {
+		tag = cmd.Args[1]
+	}
+	switch string(cmd.Args[0]) {
+	case "RPC.CALL":
+		s.Counters.Calls.Add(1)
+		c.call(tag, cmd.Args)
+	case "RPC.CANCEL":
+		s.Counters.Cancels.Add(1)
+		c.cancel(tag)
+	case "RPC.HEALTH":
+		s.Counters.Health.Add(1)
+		c.health(tag)
+	default:
+		s.Counters.Unknown.Add(1)
+		s.complain("unknown command", fmt.Errorf("%q", clip(cmd.Args[0])))
+		c.reject(tag)
+	}
+}
+
+// reject answers what could not be read as a request: it fails, as nobody can
+// tell what its dispatcher takes from a refusal.
+func (c *client) reject(tag []byte) {
+	if _, err := parseTag(tag); err != nil {
+		tag = []byte("0")
+	}
+	c.Send(message(tag, "FAIL", nil, nil))
+}
+
+func (c *client) call(tagText []byte, args [][]byte) {
+	tag, err := parseTag(tagText)
+	var call exchange.Call
+	if err == nil {
+		switch len(args) {
+		case 4:
+			call, err = c.s.lanes.parseCall(args[2], args[3], nil)
+		case 5:
+			call, err = c.s.lanes.parseCall(args[2], args[3], args[4])
+		default:
+			err = fmt.Errorf("a request of %d parts", len(args))
+		}
+	}
+	c.mu.Lock()
+	gone := c.open == nil
+	if err == nil && !gone {
+		if len(c.open) >= maxOpen {
+			err = errors.New("more requests open than allowed")
+		} else if c.open[tag] != nil {
+			err = errors.New("a tag that is open")
+		}
+	}
+	c.used = time.Now()
+	if err != nil || gone {
+		c.mu.Unlock()
+		if gone { // the connection ended before this was read
+			return
+		}
+		c.s.Counters.Malformed.Add(1)
+		c.s.complain("request not understood", err)
+		exchange.New(c.s.ledger, rejecter{c, tagText}, tag, call).Answer(exchange.Answer{Kind: exchange.Failed})
+		return
+	}
+	x := exchange.New(c.s.ledger, c, tag, call)
+	c.open[tag] = x
+	c.mu.Unlock()
+	c.s.sink.Arrived(x)
+}
+
+// rejecter answers a request that never became open.
+type rejecter struct {
+	c   *client
+	tag []byte
+}
+
+func (r rejecter) Reply(uint64, exchange.Answer) { r.c.reject(r.tag) }
+
+func (c *client) cancel(tagText []byte) {
+	tag, _ := parseTag(tagText) // a bad tag is as unknown as any other
+	c.mu.Lock()
+	x := c.open[tag]
+	if x != nil {
+		delete(c.open, tag)
+	}
+	c.used = time.Now()
+	c.mu.Unlock()
+	if x == nil { // its answer and the cancel crossed, or it never was
+		c.s.Counters.Unmatched.Add(1)
+		return
+	}
+	if x.Abandon(exchange.WasCancelled) {
+		c.s.sink.Gone(x)
+	}
+}
+
+func (c *client) health(tag []byte) {
+	c.mu.Lock()
+	c.used = time.Now()
+	c.mu.Unlock()
+	if _, err := parseTag(tag); err != nil {
+		c.reject(tag)
+		return
+	}
+	word := "RED"
+	if c.s.good.Load() {
+		word = "GREEN"
+	}
+	c.Send(message(tag, word, c.s.fields(nil, exchange.Answer{}), nil))
+}
+
+// fields writes an answer's fields.
+func (s *Server) fields(b []byte, a exchange.Answer) []byte {
+	if f := s.feedback.Load(); f != nil {
+		b = append(b, *f...)
+	}
+	add := func(name string) {
+		if len(b) > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, name...)
+	}
+	if a.RetryAfter > 0 {
+		add("later=")
+		b = strconv.AppendInt(b, max(a.RetryAfter.Milliseconds(), 1), 10)
+	}
+	if a.Last {
+		add("giveup=1")
+	}
+	return b
+}
+
+// message encodes an answer.
+func message(tag []byte, word string, fields, body []byte) []byte {
+	b := make([]byte, 0, 64+len(fields)+len(body))
+	b = redcon.AppendArray(b, 4)
+	b = redcon.AppendBulk(b, tag)
+	b = redcon.AppendBulkString(b, word)
+	b = redcon.AppendBulk(b, fields)
+	return redcon.AppendBulk(b, body)
+}
+
+// Reply sends a final answer; the exchange sees to it that there is one.
+func (c *client) Reply(tag uint64, a exchange.Answer) {
+	word := "FAIL"
+	switch a.Kind {
+	case exchange.Served:
+		word = "ACK"
+	case exchange.Refused:
+		word = "NAK"
+	}
+	sent := c.Send(message(strconv.AppendUint(nil, tag, 10), word, c.s.fields(nil, a), a.Body))
+	c.mu.Lock()
+	delete(c.open, tag)
+	c.used = time.Now()
+	over := sent && len(c.open) == 0 && c.readEnd == stream.PeerClosed
+	c.mu.Unlock()
+	if over { // it had closed its side; that was the last answer it waited for
+		c.Finish(stream.PeerClosed)
+	}
+}
+
+// sayFin asks the dispatcher to send no new request here and to close.
+func (c *client) sayFin() {
+	c.mu.Lock()
+	first := c.fin.IsZero()
+	if first {
+		c.fin = time.Now()
+	}
+	c.mu.Unlock()
+	if first {
+		c.Send(finMessage)
+	}
+}
+
+var finMessage = redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "0"), "FIN")
+
+// sweep looks for connections to close, until ctx ends.
+func (s *Server) sweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.sweepOnce(time.Now())
+		}
+	}
+}
+
+func (s *Server) sweepOnce(now time.Time) {
+	limit := time.Duration(s.idle.Load())
+	for _, c := range s.all() {
+		c.mu.Lock()
+		idle, open, fin := now.Sub(c.used), len(c.open), c.fin
+		c.mu.Unlock()
+		partial := c.Partial(now)
+		switch {
+		case partial > partialMost, partial > partialLimit && open == 0:
+			c.Shut(stream.ReadStalled)
+		case open > 0 || partial > 0 || c.Unsent() > 0:
+		case !fin.IsZero() && now.Sub(fin) > finWait && idle > finWait:
+			c.Finish(stream.IdleClosed)
+		case limit > 0 && idle > limit:
+			c.sayFin()
+		}
+	}
+}
+
+func (s *Server) all() []*client {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*client, 0, len(s.clients))
+	for c := range s.clients {
+		list = append(list, c)
+	}
+	return list
+}
+
+// Conns is the number of connections open now.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.clients)
+}
+
+// Fin tells every dispatcher, and whoever connects later, to send no new
+// request on its connection.
+func (s *Server) Fin() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	for _, c := range s.all() {
+		c.sayFin()
+	}
+}
+
+// StopListening refuses new connections from now on.
+func (s *Server) StopListening() {
+	s.mu.Lock()
+	ln := s.listen
+	s.mu.Unlock()
+	if ln != nil {
+		_ = ln.Close()
+	}
+}
+
+// Flushed reports whether every answer given was taken by the network.
+func (s *Server) Flushed() bool {
+	for _, c := range s.all() {
+		if c.Unsent() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Shut ends every connection.
+func (s *Server) Shut() {
+	for _, c := range s.all() {
+		c.Shut(stream.LeftByUs)
+	}
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,121 @@
+// Package members owns the reports to the membership service: one every so
+// often, and one at once when the phase changes. It must never hold up anything
+// else: whatever the service does, all that is lost is a report.
+package members
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Mechanics of the reports. An entry lapses 3 s after the last one, so that two
+// tries in a row may fail.
+const (
+	period     = 700 * time.Millisecond
+	timeout    = 900 * time.Millisecond
+	backoffMin = 50 * time.Millisecond
+	backoffMax = period
+	logGap     = 5 * time.Second
+)
+
+// Reporter reports one node's phase.
+type Reporter struct {
+	Sent   atomic.Int64 // reports that were taken
+	Failed atomic.Int64
+
+	url    string
+	client *http.Client
+	log    *slog.Logger
+	out    atomic.Bool
+	change chan struct{}
+}
+
+// New returns a reporter to the service at addr for the node called name.
+func New(addr, name string, log *slog.Logger) *Reporter {
+	t := &http.Transport{
+		Proxy: nil, DialContext: (&net.Dialer{Timeout: timeout}).DialContext, DisableCompression: true,
+		MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
+	}
+	return &Reporter{
+		url: "http://" + addr + "/members/" + url.PathEscape(name), log: log,
+		client: &http.Client{Transport: t, Timeout: timeout}, change: make(chan struct{}, 1),
+	}
+}
+
+// SetUp sets the phase and, if it changed, reports it at once.
+func (r *Reporter) SetUp(up bool) {
+	if r.out.Swap(!up) == up {
+		select {
+		case r.change <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run reports until ctx ends.
+func (r *Reporter) Run(ctx context.Context) {
+	defer r.client.CloseIdleConnections()
+	wait, failing := backoffMin, false
+	var logged time.Time
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := r.report(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		pause := period - time.Since(began)
+		if err != nil {
+			r.Failed.Add(1)
+			if !failing || time.Since(logged) > logGap {
+				r.log.Warn("report to the membership service failed", "err", err, "failed", r.Failed.Load())
+				logged = time.Now()
+			}
+			pause, wait = wait, min(2*wait, backoffMax)
+		} else {
+			r.Sent.Add(1)
+			if failing {
+				r.log.Info("reports to the membership service are taken again")
+			}
+			wait = backoffMin
+		}
+		failing = err != nil
+		select {
+		case <-ctx.Done():
+		case <-r.change:
+		case <-time.After(max(pause, 0)):
+		}
+	}
+}
+
+// report sends one report and waits until it was taken.
+func (r *Reporter) report(ctx context.Context) error {
+	phase := "UP"
+	if r.out.Load() {
+		phase = "OUT"
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, r.url, strings.NewReader(`{"phase":"`+phase+`"}`))
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := r.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10)); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	if res.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("report: status %s", res.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/host.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/pool"
+	"robinmast/rules"
+)
+
+// This file carries out what the module says; rules.Host is implemented by the
+// unexported host so that only the module can reach it. All of it runs in the loop.
+
+type host struct{ *Node }
+
+var _ rules.Host = host{}
+
+// Run asks the worker pool for a run. Before it has come up nothing is asked
+// for: what is held then is read again once it has.
+func (h host) Run(id rules.RequestID) {
+	if it := h.items[id]; it != nil && !it.running {
+		it.running = true
+		if h.isBound {
+			h.pool.Spawn(it.x)
+		}
+	}
+}
+
+// Halt stops a run.
+func (h host) Halt(id rules.RequestID) {
+	it := h.items[id]
+	switch {
+	case it == nil || !it.running:
+	case h.isBound:
+		h.pool.Suspend(it.x)
+	default:
+		h.late = append(h.late, event{kind: finished, x: it.x, end: pool.Cancelled})
+	}
+}
+
+// Refuse answers that a request never ran.
+func (h host) Refuse(id rules.RequestID, retryAfter time.Duration, last bool) {
+	h.answer(id, exchange.Answer{Kind: exchange.Refused, RetryAfter: retryAfter, Last: last})
+}
+
+// Fail answers without a promise.
+func (h host) Fail(id rules.RequestID) { h.answer(id, exchange.Answer{Kind: exchange.Failed}) }
+
+func (h host) answer(id rules.RequestID, a exchange.Answer) {
+	if it := h.items[id]; it != nil {
+		it.x.Answer(a)
+		h.leave(it)
+	}
+}
+
+// Call and Skip have no protocol on this platform; the configuration admits no
+// settings under which the module would ask for them.
+func (h host) Call(id rules.RequestID, _ time.Duration) {
+	h.cfg.Log.Error("the module asked for a call; there is no protocol for one", "id", uint64(id))
+}
+
+// Skip is like Call.
+func (h host) Skip(id rules.RequestID) {
+	h.cfg.Log.Error("the module asked to skip a call; there is no protocol for one", "id", uint64(id))
+}
+
+// Keep makes or renews a request's entry in the table.
+func (h host) Keep(id rules.RequestID, span time.Duration) {
+	it := h.items[id]
+	if it == nil {
+		return
+	}
+	if key := keyOf(it.x, h.cfg.Settings); key != "" {
+		h.table.keep(it, key, h.now+span)
+	}
+}
+
+// Forget takes a request's entry out of the table.
+func (h host) Forget(id rules.RequestID) {
+	if it := h.items[id]; it != nil && it.kept != nil {
+		h.settleKept(it, false, nil)
+		h.table.drop(it.kept)
+	}
+}
+
+// Reuse serves a request from the result of the one it repeats.
+func (h host) Reuse(id rules.RequestID) {
+	it := h.items[id]
+	if it == nil {
+		return
+	}
+	it.reusing = true
+	e := h.table.byKey[keyOf(it.x, h.cfg.Settings)]
+	switch {
+	case e == nil:
+		h.reused(it, false, nil)
+	case e.over:
+		h.reused(it, e.good, e.body)
+	default:
+		e.waiting = append(e.waiting, it)
+	}
+}
+
+// SetHealth sets what health checks and the membership service are told.
+func (h host) SetHealth(_, good bool) {
+	h.front.SetHealth(good)
+	if h.cfg.Health != nil {
+		h.cfg.Health(good)
+	}
+}
+
+// Say sets the free value.
+func (h host) Say(value float64) { h.front.Say(value) }
+
+// CloseIdle sets the idle limit of connections.
+func (h host) CloseIdle(after time.Duration) { h.front.CloseIdle(after) }
+
+// Wake sets a timer.
+func (h host) Wake(token uint64, in time.Duration) {
+	at := h.now + in
+	i := len(h.timers)
+	for i > 0 && h.timers[i-1].at > at {
+		i--
+	}
+	h.timers = append(h.timers, timer{})
+	copy(h.timers[i+1:], h.timers[i:])
+	h.timers[i] = timer{at: at, token: token}
+}
+
+// Log passes a line of the module on.
+func (h host) Log(line string) { h.cfg.Log.Info("module", "line", line) }
--- /dev/null
+++ b/internal/node/keys.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"hash/maphash"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/pool"
+	"robinmast/rules"
+)
+
+// This file keeps what links the tries of a request: keys, and the results that
+// repeats are served from. The module says what is kept and for how long.
+
+// lateRead is how long an entry is still found after it expired, for a repeat
+// that came in time and was read late.
+const lateRead = 10 * time.Second
+
+// kept is one entry. The newest try that the module kept holds it.
+type kept struct {
+	key     string
+	holder  rules.RequestID
+	expires time.Duration
+	over    bool // the run it stands for has ended
+	good    bool // with a result
+	body    []byte
+	waiting []*item
+}
+
+// table is the table of kept keys.
+type table struct {
+	byKey   map[string]*kept
+	results []*kept // that hold a result, oldest first
+	bytes   int
+	limit   int
+	swept   time.Duration
+}
+
+func newTable(limit int) table {
+	return table{byKey: map[string]*kept{}, limit: limit}
+}
+
+var hashSeed = maphash.MakeSeed()
+
+// hash turns an item's name into the module's key; 0 means none.
+func hash(item string) uint64 {
+	if item == "" {
+		return 0
+	}
+	return maphash.String(hashSeed, item) | 1
+}
+
+// keyOf names what a request's tries have in common, "" for one that has none.
+func keyOf(x *exchange.Exchange, set rules.Settings) string {
+	switch {
+	case set.Classes[x.Class].Effect == rules.Keyed:
+		return "u" + x.ClassName + "\x00" + x.Unique
+	case x.Safe && set.Fresh > 0 && x.Item != "":
+		return "i" + x.ClassName + "\x00" + x.Item
+	}
+	return ""
+}
+
+// earlier is the kept request that x repeats, 0 for none. An entry counts for
+// whatever reached the machine while it lived, however late it is read.
+func (t *table) earlier(x *exchange.Exchange, q rules.Request, now time.Duration, set rules.Settings) rules.RequestID {
+	e := t.byKey[keyOf(x, set)]
+	if e == nil || now-q.Age > e.expires || x.Safe && e.over && !e.good {
+		return 0
+	}
+	return e.holder
+}
+
+// keep makes or renews the entry of a request.
+func (t *table) keep(it *item, key string, expires time.Duration) {
+	if it.kept != nil && it.kept.holder == it.id {
+		it.kept.expires = expires
+		return
+	}
+	t.drop(t.byKey[key])
+	it.kept = &kept{key: key, holder: it.id, expires: expires}
+	t.byKey[key] = it.kept
+}
+
+// drop takes an entry out; whoever waits for it is settled by its holder's end.
+func (t *table) drop(e *kept) {
+	if e == nil {
+		return
+	}
+	if t.byKey[e.key] == e {
+		delete(t.byKey, e.key)
+	}
+	t.bytes -= len(e.body)
+	e.body = nil
+}
+
+// settle notes how an entry's run ended, and returns who waited for it.
+func (t *table) settle(e *kept, good bool, body []byte, now time.Duration, fresh time.Duration) []*item {
+	e.over, e.good = true, good
+	if good && t.byKey[e.key] == e {
+		e.body = body
+		t.bytes += len(body)
+		t.results = append(t.results, e)
+		if fresh > 0 { // a read's answer is shared for so long from its end
+			e.expires = now + fresh
+		}
+		for t.bytes > t.limit && len(t.results) > 0 { // its repeats will fail; none runs again
+			old := t.results[0]
+			t.results = t.results[1:]
+			t.bytes -= len(old.body)
+			old.body, old.good = nil, false
+		}
+	}
+	w := e.waiting
+	e.waiting = nil
+	return w
+}
+
+// expire takes out what has run out, now and then.
+func (t *table) expire(now time.Duration) {
+	if now-t.swept < time.Second {
+		return
+	}
+	t.swept = now
+	for _, e := range t.byKey {
+		if now > e.expires+lateRead && len(e.waiting) == 0 {
+			t.drop(e)
+		}
+	}
+	live := t.results[:0]
+	for _, e := range t.results {
+		if t.byKey[e.key] == e {
+			live = append(live, e)
+		}
+	}
+	clear(t.results[len(live):])
+	t.results = live
+}
+
+// settleKept ends the entry that a request holds, once, and answers its repeats.
+func (n *Node) settleKept(it *item, good bool, body []byte) {
+	e := it.kept
+	if e == nil || e.over {
+		return
+	}
+	var fresh time.Duration
+	if it.x.Safe {
+		fresh = n.cfg.Settings.Fresh
+	}
+	for _, w := range n.table.settle(e, good, body, n.now, fresh) {
+		n.reused(w, good, body)
+	}
+}
+
+// reused ends a reuse, in the loop's next batch.
+func (n *Node) reused(it *item, good bool, body []byte) {
+	end := pool.Error
+	if good {
+		end = pool.Complete
+	}
+	n.late = append(n.late, event{kind: finished, x: it.x, end: end, took: n.cfg.Settings.Tick, body: body})
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,424 @@
+// Package node owns the one loop that owns the decision module, the exchanges
+// in hand, the kept keys and the timers. It takes whatever events wait, at most
+// once a settings tick, feeds them to the module, lets it settle once, and
+// carries out what it says. It must never decide about a request, and never
+// wait for a socket.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/pool"
+	"robinmast/rules"
+)
+
+// pollLead is how long before a timer of the module is due the gauges are
+// asked for: two ticks of the worker pool.
+const pollLead = 5 * time.Millisecond
+
+// Front is what the loop needs of the side towards dispatchers.
+type Front interface {
+	SetHealth(good bool)
+	Say(value float64)
+	CloseIdle(after time.Duration)
+}
+
+// Pool is what the loop needs of the worker pool.
+type Pool interface {
+	Spawn(*exchange.Exchange)
+	Suspend(*exchange.Exchange)
+	Poll()
+}
+
+// Config is what a Node needs.
+type Config struct {
+	Settings rules.Settings
+	Seed     uint64
+	KeyBytes int // memory for kept results
+	Health   func(good bool)
+	Log      *slog.Logger
+}
+
+// kind is the kind of an event.
+type kind uint8
+
+const (
+	arrived kind = iota
+	gone
+	finished
+	bound
+	drain
+)
+
+type event struct {
+	kind kind
+	x    *exchange.Exchange
+	end  pool.End
+	took time.Duration
+	body []byte
+	cold bool
+}
+
+// item is a request in hand: what the module calls it, and what is left of it.
+type item struct {
+	id      rules.RequestID
+	x       *exchange.Exchange
+	running bool  // a run was asked for and is not over
+	reusing bool  // waits for the result of the request it repeats
+	kept    *kept // the entry it holds
+}
+
+// Node is one node's loop. Its exported methods may be called by any goroutine.
+type Node struct {
+	Resets atomic.Int64 // times that the module failed and was made anew
+
+	cfg   Config
+	front Front
+	pool  Pool
+	began time.Time
+
+	mu     sync.Mutex
+	queue  []event
+	gauges []float64
+	poke   chan struct{}
+
+	// The rest belongs to the loop.
+	module  *rules.Module
+	isBound bool
+	born    time.Duration
+	now     time.Duration
+	nextID  rules.RequestID
+	items   map[rules.RequestID]*item
+	byX     map[*exchange.Exchange]*item
+	byTxn   map[string]struct{}
+	timers  []timer // by time
+	polled  bool    // the gauges were asked for the first timer
+	table   table
+	late    []event // made by the loop itself, for its next batch
+	left    time.Duration
+	leaving bool
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+// New returns a node; Attach gives it its two sides and Run runs it.
+func New(cfg Config) *Node {
+	return &Node{
+		cfg: cfg, began: time.Now(), poke: make(chan struct{}, 1),
+		items: map[rules.RequestID]*item{}, byX: map[*exchange.Exchange]*item{},
+		byTxn: map[string]struct{}{}, table: newTable(cfg.KeyBytes),
+	}
+}
+
+// Attach sets the two sides; it must be called before Run.
+func (n *Node) Attach(f Front, p Pool) { n.front, n.pool = f, p }
+
+func (n *Node) post(e event) {
+	n.mu.Lock()
+	n.queue = append(n.queue, e)
+	n.mu.Unlock()
+	select {
+	case n.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Arrived takes a request that was read.
+func (n *Node) Arrived(x *exchange.Exchange) { n.post(event{kind: arrived, x: x}) }
+
+// Gone takes the word that nobody waits for a request.
+func (n *Node) Gone(x *exchange.Exchange) { n.post(event{kind: gone, x: x}) }
+
+// Finished takes the end of a run.
+func (n *Node) Finished(x *exchange.Exchange, end pool.End, took time.Duration, result []byte) {
+	n.post(event{kind: finished, x: x, end: end, took: took, body: result})
+}
+
+// Bound takes the word that the worker pool is up.
+func (n *Node) Bound(cold bool, since time.Duration) {
+	n.post(event{kind: bound, cold: cold, took: since})
+}
+
+// Polled takes the gauges; the next timer brings them to the module.
+func (n *Node) Polled(values []float64) {
+	n.mu.Lock()
+	n.gauges = values
+	n.mu.Unlock()
+}
+
+// Drain gives the notice to leave: the process stops after left.
+func (n *Node) Drain(left time.Duration) { n.post(event{kind: drain, took: left}) }
+
+// Run runs the loop until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	n.tick()
+	if err := n.build(n.now, n.cfg.Settings.Cold); err != nil {
+		return err
+	}
+	wait := time.NewTimer(0)
+	defer wait.Stop()
+	for {
+		wait.Reset(n.untilTimer())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.poke:
+		case <-wait.C:
+		}
+		n.batch()
+		// The module's batches come at most once a tick; what arrives meanwhile
+		// makes the next one.
+		if pause := n.now + n.cfg.Settings.Tick - n.clock(); pause > 0 {
+			time.Sleep(pause)
+		}
+	}
+}
+
+// epoch keeps the module's clock above 0 even if the worker pool came up long
+// before this process: some of its arithmetic takes no negative times.
+const epoch = 24 * time.Hour
+
+func (n *Node) clock() time.Duration { return epoch + time.Since(n.began) }
+
+func (n *Node) tick() { n.now = n.clock() }
+
+// untilTimer is the time to the next thing the loop does by itself.
+func (n *Node) untilTimer() time.Duration {
+	if len(n.late) > 0 {
+		return 0
+	}
+	if len(n.timers) == 0 {
+		return time.Hour
+	}
+	at := n.timers[0].at
+	if !n.polled {
+		at -= pollLead
+	}
+	return max(at-n.clock(), 0)
+}
+
+// batch feeds what waits and lets the module settle.
+func (n *Node) batch() {
+	n.mu.Lock()
+	queue := n.queue
+	n.queue = nil
+	gauges := n.gauges
+	n.mu.Unlock()
+	n.tick()
+	late := n.late
+	n.late = nil
+	n.guard(func() {
+		for _, e := range late {
+			n.feed(e)
+		}
+		for _, e := range queue {
+			n.feed(e)
+		}
+		for len(n.timers) > 0 && n.timers[0].at <= n.now {
+			t := n.timers[0]
+			n.timers = slices.Delete(n.timers, 0, 1)
+			n.polled = false
+			n.module.Woke(n.now, t.token, gauges)
+		}
+		n.module.Settle(n.now)
+	})
+	n.table.expire(n.now)
+	if !n.polled && len(n.timers) > 0 && n.timers[0].at-pollLead <= n.now {
+		n.polled = true
+		n.pool.Poll()
+	}
+}
+
+// guard answers everything and makes the module anew should its code fail: a
+// defect in a decision must not take the node down with all it has read.
+func (n *Node) guard(run func()) {
+	defer func() {
+		p := recover()
+		if p == nil {
+			return
+		}
+		if resets := n.Resets.Add(1); resets&(resets-1) == 0 { // the 1st, 2nd, 4th, 8th ...
+			n.cfg.Log.Error("the module failed and is made anew", "panic", fmt.Sprint(p),
+				"resets", resets, "stack", string(debug.Stack()))
+		}
+		for _, it := range n.ordered() {
+			it.x.Answer(exchange.Answer{Kind: exchange.Failed})
+			n.settleKept(it, false, nil)
+			if !it.running {
+				n.forget(it)
+			}
+		}
+		if err := n.build(n.born, n.cfg.Settings.Cold); err != nil {
+			panic(err) // it was made before from the same settings
+		}
+		if n.leaving {
+			n.module.Drain(n.now, n.left)
+		}
+	}()
+	run()
+}
+
+// ordered lists the items in order of arrival.
+func (n *Node) ordered() []*item {
+	list := make([]*item, 0, len(n.items))
+	for _, it := range n.items {
+		list = append(list, it)
+	}
+	slices.SortFunc(list, func(a, b *item) int { return int(a.id) - int(b.id) })
+	return list
+}
+
+// build makes the module, as of when the worker pool came up.
+func (n *Node) build(born time.Duration, cold bool) error {
+	n.timers, n.polled, n.born = nil, false, born
+	n.cfg.Settings.Cold = cold
+	now := n.now
+	n.now = born
+	m, err := rules.New(born, n.cfg.Settings, n.cfg.Seed, host{n})
+	n.now = now
+	if err != nil {
+		return fmt.Errorf("module: %w", err)
+	}
+	n.module = m
+	return nil
+}
+
+// feed hands one event to the module.
+func (n *Node) feed(e event) {
+	switch e.kind {
+	case arrived:
+		n.arrive(e.x)
+	case gone:
+		if it := n.byX[e.x]; it != nil {
+			n.module.Gone(n.now, it.id)
+			n.leave(it)
+		}
+	case finished:
+		n.finish(e)
+	case bound:
+		n.bind(e)
+	case drain:
+		n.leaving, n.left = true, e.took
+		n.module.Drain(n.now, e.took)
+	}
+}
+
+// bind makes the module anew when the worker pool comes up for the first time,
+// since only then is known how long it has been warming. Nothing can have run
+// before; what came too early is read again.
+func (n *Node) bind(e event) {
+	if n.isBound {
+		return
+	}
+	n.isBound = true
+	waiting := n.ordered()
+	up := min(e.took, n.cfg.Settings.Ramp+n.cfg.Settings.FallWindow) // longer ago makes no difference
+	if err := n.build(n.now-up, e.cold); err != nil {
+		panic(err) // it was made before from the same settings
+	}
+	if n.leaving {
+		n.module.Drain(n.now, n.left)
+	}
+	n.table = newTable(n.cfg.KeyBytes)
+	for _, it := range waiting {
+		n.forget(it)
+		if it.x.Fate() == exchange.Open {
+			n.arrive(it.x)
+		}
+	}
+}
+
+// arrive gives a request to the module. Its age counts from the machine's door,
+// by the Unix clock; both clocks are read now.
+func (n *Node) arrive(x *exchange.Exchange) {
+	if x.Fate() != exchange.Open { // its caller left before it was taken up
+		return
+	}
+	if _, twice := n.byTxn[x.Txn]; twice { // the worker pool could not tell them apart
+		x.Answer(exchange.Answer{Kind: exchange.Failed})
+		return
+	}
+	n.nextID++
+	it := &item{id: n.nextID, x: x}
+	n.items[it.id], n.byX[x] = it, it
+	n.byTxn[x.Txn] = struct{}{}
+	q := request(x, it.id, float64(time.Now().UnixMicro())/1000)
+	q.Earlier = n.table.earlier(x, q, n.now, n.cfg.Settings)
+	if q.Earlier == it.id {
+		q.Earlier = 0
+	}
+	n.module.Arrive(n.now, q)
+}
+
+// Bounds for what the clocks of two programs may say.
+const longest = time.Hour
+
+// request turns a call into the module's terms; unix is the time in milliseconds.
+func request(x *exchange.Exchange, id rules.RequestID, unix float64) rules.Request {
+	clamp := func(ms float64, least time.Duration) time.Duration {
+		return min(max(time.Duration(min(ms, float64(longest/time.Millisecond))*float64(time.Millisecond)), least), longest)
+	}
+	q := rules.Request{
+		ID: id, Rank: x.Rank, Hint: clamp(x.HintMs, 0), Tenant: x.Tenant, Caller: x.Caller,
+		Age: clamp(max(unix-x.Door, 0), 0), KB: x.KB, Class: x.Class, Retry: x.Retry, Key: hash(x.Item),
+	}
+	if x.Limit > 0 { // a time already past is still told: 0 would mean that nothing is known
+		q.Patience = min(clamp(max(x.Door+x.Limit-unix, 0), time.Microsecond), clamp(x.Limit, time.Microsecond))
+	}
+	return q
+}
+
+// finish takes the end of a run or a reuse. A result goes out by itself, as
+// does a failure; a run that was stopped without an answer is the module's again.
+func (n *Node) finish(e event) {
+	it := n.byX[e.x]
+	if it == nil || !it.running && !it.reusing {
+		return
+	}
+	it.running, it.reusing = false, false
+	switch e.end {
+	case pool.Complete:
+		it.x.Answer(exchange.Answer{Kind: exchange.Served, Body: e.body})
+		n.settleKept(it, true, e.body)
+		n.module.Ended(n.now, it.id, rules.OK, e.took)
+	case pool.Cancelled:
+		n.module.Ended(n.now, it.id, rules.Cancelled, e.took)
+		n.leave(it)
+		return
+	default:
+		it.x.Answer(exchange.Answer{Kind: exchange.Failed})
+		n.settleKept(it, false, nil)
+		o := rules.Failed
+		if e.end == pool.Moot {
+			o = rules.Moot
+		}
+		n.module.Ended(n.now, it.id, o, e.took)
+	}
+	n.leave(it)
+}
+
+// leave forgets a request of which nothing is left.
+func (n *Node) leave(it *item) {
+	if it.running || it.x.Fate() == exchange.Open {
+		return
+	}
+	n.settleKept(it, false, nil)
+	n.forget(it)
+}
+
+func (n *Node) forget(it *item) {
+	delete(n.items, it.id)
+	delete(n.byX, it.x)
+	delete(n.byTxn, it.x.Txn)
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,441 @@
+// Package pool owns the link to the worker pool: it keeps the link up, sends
+// commands, reads notices, and remembers which runs were asked for, so that a
+// new link neither loses nor repeats one. It must never decide what runs, and
+// never touch an exchange but to read the request.
+package pool
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/stream"
+)
+
+// Mechanics of the link.
+const (
+	longestLine = 24 << 10               // a result of 4 KiB in base64, and room
+	inLimit     = longestLine + 8<<10    // in ring
+	outLimit    = 8 << 20                // out ring: commands of a thousand requests and more
+	dialTimeout = time.Second            // per try
+	backoffMin  = 10 * time.Millisecond  // between tries to connect
+	backoffMax  = 500 * time.Millisecond // the same after many
+	quietLimit  = 10 * time.Second       // without a line while polls are out, the link is replaced
+	complainGap = 2 * time.Second        // between log lines about bad input
+)
+
+// End is how a run ended.
+type End uint8
+
+// The ends of a run.
+const (
+	Complete  End = iota // with its result
+	Error                // it failed
+	Cancelled            // it was stopped
+	Moot                 // nothing was started, as the request is over
+)
+
+var ends = map[string]End{"complete": Complete, "error": Error, "cancelled": Cancelled, "unknown": Moot}
+
+// Sink takes what the worker pool tells. Its methods must not block.
+type Sink interface {
+	// Bound tells that the worker pool is up, since how long, and whether it began cold.
+	Bound(cold bool, since time.Duration)
+	// Finished tells that a run is over; result is set if it is Complete.
+	Finished(x *exchange.Exchange, end End, took time.Duration, result []byte)
+	// Polled brings the gauges.
+	Polled(values []float64)
+}
+
+// Counters are what the link counts besides its traffic.
+type Counters struct {
+	Links    atomic.Int64 // links that were bound
+	Dials    atomic.Int64 // tries that failed
+	Spawned  atomic.Int64 // runs asked for
+	Respawns atomic.Int64 // of those, asked for again on a new link
+	Suspends atomic.Int64
+	Finished [4]atomic.Int64 // by End
+	Rejected atomic.Int64    // spawns that were not carried out
+	Bad      atomic.Int64    // lines that made no sense
+	Gaps     atomic.Int64    // notices that were lost
+}
+
+// run is a run that was asked for and is not known to be over.
+type run struct {
+	x       *exchange.Exchange
+	order   uint64
+	sent    bool // it may have reached the worker pool
+	stopped bool
+}
+
+// Link is the link to the worker pool.
+type Link struct {
+	Counters Counters
+	Traffic  stream.Traffic
+
+	addr string
+	sink Sink
+	log  *slog.Logger
+
+	mu    sync.Mutex
+	conn  *stream.Conn // nil while there is no link
+	ready bool         // the replay was taken: commands may go out
+	runs  map[string]*run
+	order uint64
+	last  int64 // number of the last notice read
+	tries int   // links so far, names the replay's end
+
+	complained time.Time
+	muted      int
+}
+
+// New returns a link to the worker pool at addr; Run brings it up.
+func New(addr string, sink Sink, log *slog.Logger) *Link {
+	return &Link{addr: addr, sink: sink, log: log, runs: map[string]*run{}}
+}
+
+// command is what the node sends.
+type command struct {
+	Op    string  `json:"op"`
+	Seq   *int64  `json:"seq,omitempty"`
+	ID    string  `json:"id,omitempty"`
+	Class string  `json:"class,omitempty"`
+	Body  *[]byte `json:"body,omitempty"`
+	Tag   string  `json:"tag,omitempty"`
+}
+
+// notice is what the worker pool sends.
+type notice struct {
+	Op     string    `json:"op"`
+	End    string    `json:"end"`
+	Ms     float64   `json:"ms"`
+	Seq    int64     `json:"seq"`
+	ID     string    `json:"id"`
+	Body   []byte    `json:"body"`
+	Tag    string    `json:"tag"`
+	Values []float64 `json:"values"`
+}
+
+// send queues a command; the lock must be held. It may fail: then the link ends
+// and the next one says it again.
+func send(c *stream.Conn, cmd command) {
+	line, err := json.Marshal(cmd)
+	if err != nil { // the type has nothing that can't be encoded
+		panic(err)
+	}
+	c.Send(append(line, '\n'))
+}
+
+// Spawn asks for a run.
+func (l *Link) Spawn(x *exchange.Exchange) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Counters.Spawned.Add(1)
+	l.order++
+	r := &run{x: x, order: l.order}
+	l.runs[x.Txn] = r
+	if l.ready {
+		l.spawn(r)
+	}
+}
+
+func (l *Link) spawn(r *run) {
+	r.sent = true
+	body := r.x.Body
+	if body == nil {
+		body = []byte{}
+	}
+	send(l.conn, command{Op: "spawn", ID: r.x.Txn, Class: r.x.ClassName, Body: &body})
+}
+
+// Suspend stops a run. One that was never sent ends here.
+func (l *Link) Suspend(x *exchange.Exchange) {
+	l.mu.Lock()
+	r := l.runs[x.Txn]
+	if r == nil || r.x != x || r.stopped {
+		l.mu.Unlock()
+		return
+	}
+	l.Counters.Suspends.Add(1)
+	r.stopped = true
+	if !r.sent {
+		delete(l.runs, x.Txn)
+		l.Counters.Finished[Cancelled].Add(1)
+		l.mu.Unlock()
+		l.sink.Finished(x, Cancelled, 0, nil)
+		return
+	}
+	if l.ready {
+		send(l.conn, command{Op: "suspend", ID: x.Txn})
+	}
+	l.mu.Unlock()
+}
+
+// Poll asks for the gauges, if there is a link to ask on.
+func (l *Link) Poll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ready {
+		send(l.conn, command{Op: "poll", Tag: "g"})
+	}
+}
+
+// Run keeps the link up until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	wait := backoffMin
+	for ctx.Err() == nil {
+		began := time.Now()
+		end, err := l.once(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if time.Since(began) > time.Second {
+			wait = backoffMin
+		}
+		l.log.Warn("worker pool link ended", "end", end.String(), "err", err, "runs", l.Runs())
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, backoffMax)
+	}
+}
+
+// Runs is the number of runs asked for and not known to be over.
+func (l *Link) Runs() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.runs)
+}
+
+// once opens a link and reads from it until it ends.
+func (l *Link) once(ctx context.Context) (stream.End, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", l.addr)
+	if err != nil {
+		l.Counters.Dials.Add(1)
+		return stream.EndOf(err, stream.DialFailed), fmt.Errorf("dial worker pool: %w", err)
+	}
+	c := stream.New(raw, &stream.Lines{Longest: longestLine}, inLimit, outLimit, &l.Traffic, nil)
+	stop := context.AfterFunc(ctx, func() { c.Shut(stream.LeftByUs) })
+	defer stop()
+	l.mu.Lock()
+	l.conn, l.ready = c, false
+	l.tries++
+	last := l.last
+	l.mu.Unlock()
+	send(c, command{Op: "bind", Seq: &last})
+	err = l.read(c)
+	l.mu.Lock()
+	l.conn, l.ready = nil, false
+	l.mu.Unlock()
+	c.Shut(stream.EndOf(err, stream.ReadFailed))
+	<-c.Done()
+	return c.Ended(), err
+}
+
+func (l *Link) read(c *stream.Conn) error {
+	lines := bufio.NewScanner(c)
+	lines.Buffer(make([]byte, 0, 8<<10), longestLine+2)
+	for {
+		if l.isReady() {
+			if err := c.SetReadDeadline(time.Now().Add(quietLimit)); err != nil {
+				return fmt.Errorf("bound the wait for a line: %w", err)
+			}
+		}
+		if !lines.Scan() {
+			break
+		}
+		l.line(c, lines.Bytes())
+	}
+	err := lines.Err()
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		return &stream.Error{End: stream.ReadStalled, Cause: err}
+	}
+	if err == nil {
+		err = &stream.Error{End: stream.PeerClosed}
+	}
+	return err
+}
+
+func (l *Link) isReady() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ready
+}
+
+func (l *Link) complain(what string, args ...any) {
+	l.Counters.Bad.Add(1)
+	if time.Since(l.complained) < complainGap {
+		l.muted++
+		return
+	}
+	l.complained = time.Now()
+	l.log.Warn(what, append(args, "muted", l.muted)...)
+	l.muted = 0
+}
+
+// line takes one line; it lives only during the call.
+func (l *Link) line(c *stream.Conn, text []byte) {
+	var n notice
+	if err := json.Unmarshal(text, &n); err != nil {
+		l.complain("line from the worker pool not understood", "err", err)
+		return
+	}
+	switch n.Op {
+	case "bound":
+		l.bound(c, n)
+	case "finished":
+		if l.fresh(n) {
+			l.finished(n)
+		}
+	case "chatter":
+		l.fresh(n)
+	case "polled":
+		l.mu.Lock()
+		replayed := !l.ready && n.Tag == l.barrier()
+		if replayed {
+			l.resume()
+		}
+		l.mu.Unlock()
+		l.sink.Polled(n.Values)
+	case "unknown":
+		l.rejected(n)
+	default:
+		l.complain("unknown word from the worker pool", "op", clip(n.Op))
+	}
+}
+
+// barrier is the tag of the poll whose answer ends the replay; the lock must be held.
+func (l *Link) barrier() string { return "r" + strconv.Itoa(l.tries) }
+
+// bound starts the replay. What was missed follows; the answer to a poll sent
+// now comes after it. Nothing is spawned before: a run that finished while there
+// was no link must be known as finished first, or it would run twice.
+func (l *Link) bound(c *stream.Conn, n notice) {
+	l.mu.Lock()
+	if l.ready {
+		l.mu.Unlock()
+		l.complain("bound twice on one link")
+		return
+	}
+	send(c, command{Op: "poll", Tag: l.barrier()})
+	last := l.last
+	l.mu.Unlock()
+	l.Counters.Links.Add(1)
+	l.log.Info("worker pool bound", "began", n.End, "up_ms", n.Ms, "after", last)
+	l.sink.Bound(n.End == "chilly", milliseconds(n.Ms))
+}
+
+// resume says again what the worker pool may not have heard, and lets new
+// commands go out; the lock must be held.
+func (l *Link) resume() {
+	l.ready = true
+	again := make([]*run, 0, len(l.runs))
+	for _, r := range l.runs {
+		again = append(again, r)
+	}
+	slices.SortFunc(again, func(a, b *run) int { return cmp.Compare(a.order, b.order) })
+	for _, r := range again {
+		if r.sent {
+			l.Counters.Respawns.Add(1)
+		}
+		l.spawn(r)
+		if r.stopped {
+			send(l.conn, command{Op: "suspend", ID: r.x.Txn})
+		}
+	}
+}
+
+// fresh reports whether a numbered notice is new, and notes its number.
+func (l *Link) fresh(n notice) bool {
+	l.mu.Lock()
+	last := l.last
+	if n.Seq > last {
+		l.last = n.Seq
+	}
+	l.mu.Unlock()
+	if n.Seq <= last {
+		l.complain("repeated notice from the worker pool", "seq", n.Seq, "last", last)
+		return false
+	}
+	if n.Seq > last+1 {
+		l.gap(n.Seq - last - 1)
+	}
+	return true
+}
+
+// gap fails what may have finished unnoticed and must not run again. Safe work
+// is simply asked for again: if it still runs, nothing happens.
+func (l *Link) gap(missed int64) {
+	l.Counters.Gaps.Add(missed)
+	l.mu.Lock()
+	var lost []*run
+	for id, r := range l.runs {
+		if r.sent && !r.x.Safe {
+			lost = append(lost, r)
+			delete(l.runs, id)
+		}
+	}
+	l.mu.Unlock()
+	l.log.Warn("notices from the worker pool were lost", "missed", missed, "failed", len(lost))
+	slices.SortFunc(lost, func(a, b *run) int { return cmp.Compare(a.order, b.order) })
+	for _, r := range lost {
+		l.Counters.Finished[Error].Add(1)
+		l.sink.Finished(r.x, Error, 0, nil)
+	}
+}
+
+func (l *Link) take(id string) *run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runs[id]
+	delete(l.runs, id)
+	return r
+}
+
+func (l *Link) finished(n notice) {
+	end, known := ends[n.End]
+	if !known {
+		l.complain("unknown end of a run", "end", clip(n.End))
+		end = Error
+	}
+	r := l.take(n.ID)
+	if r == nil {
+		l.complain("end of a run that was not asked for", "id", clip(n.ID))
+		return
+	}
+	l.Counters.Finished[end].Add(1)
+	l.sink.Finished(r.x, end, milliseconds(n.Ms), n.Body)
+}
+
+// rejected takes the word that a command was not carried out. A spawn that was
+// not has no run, and never will.
+func (l *Link) rejected(n notice) {
+	l.complain("command not carried out", "op", clip(n.End), "id", clip(n.ID))
+	if n.End != "spawn" {
+		return
+	}
+	if r := l.take(n.ID); r != nil {
+		l.Counters.Rejected.Add(1)
+		l.Counters.Finished[Error].Add(1)
+		l.sink.Finished(r.x, Error, 0, nil)
+	}
+}
+
+func clip(s string) string { return s[:min(len(s), 24)] }
+
+// milliseconds clamps what the worker pool tells to a sane span.
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(min(max(ms, 0), 1e12) * float64(time.Millisecond))
+}
--- a/internal/simwire/settings.go
+++ b/internal/settings/settings.go
@@ -1,8 +1,13 @@
-package simwire
+// Package settings owns how a node's settings text becomes the module's
+// settings; the simulator's host and the real node share it. It must never
+// decide anything: it maps names, words and units, and skips what it doesn't know.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
+	"math"
+	"time"
 
 	"robinmast/rules"
 )
@@ -22,6 +27,7 @@
 		RetryAfter      bool    `json:"retryAfter"`
 	} `json:"bounds"`
 	Lanes []struct {
+		Name       string  `json:"name"`
 		AimMs      float64 `json:"aimMs"`
 		AimStretch float64 `json:"aimStretch"`
 		DeadlineMs float64 `json:"deadlineMs"`
@@ -31,6 +37,7 @@
 		Worth      float64 `json:"worth"`
 	} `json:"lanes"`
 	Parties []struct {
+		Name     string  `json:"name"`
 		QuotaRps float64 `json:"quotaRps"`
 		Share    float64 `json:"share"`
 	} `json:"parties"`
@@ -93,24 +100,48 @@
 	return v, nil
 }
 
-// ParseSettings turns a node's settings text into the module's settings.
-func ParseSettings(text []byte) (rules.Settings, error) {
+// Names are the words by which requests name their class and tenant, in the
+// order of the module's settings.
+type Names struct {
+	Classes []string
+	Tenants []string
+}
+
+// duration turns milliseconds into a duration, to the nearest microsecond.
+func duration(ms float64) time.Duration {
+	return time.Duration(math.Round(ms*1000)) * time.Microsecond
+}
+
+// Parse turns a node's settings text into the module's settings.
+func Parse(text []byte) (rules.Settings, error) {
+	s, _, err := ParseNamed(text)
+	return s, err
+}
+
+// ParseNamed is Parse and the names of classes and tenants.
+func ParseNamed(text []byte) (rules.Settings, Names, error) {
+	var names Names
+	s, err := parse(text, &names)
+	return s, names, err
+}
+
+func parse(text []byte, names *Names) (rules.Settings, error) {
 	var j settingsJSON
 	if err := json.Unmarshal(text, &j); err != nil {
 		return rules.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	x, o := j.Extra, j.Obligations
 	s := rules.Settings{
-		Tick: Duration(j.TickMs), Cores: x.CPUs, Nodes: j.GroupSize, Callers: x.Upstreams,
+		Tick: duration(j.TickMs), Cores: x.CPUs, Nodes: j.GroupSize, Callers: x.Upstreams,
 		Cold: x.JustStarted, Layer: j.Layer, OverShare: j.OverShare, WorthByWork: j.CountedBy == "work",
 		MarksRetries: j.ClientHabits.MarksRetry, PassesPatience: x.PassesDeadline, TellsGone: x.TellsGone,
-		HonoursRetry: j.Bounds.RetryAfter, MaxRetryAfter: Duration(j.Bounds.MaxRetryAfterMs),
-		FreeValueLife: Duration(x.HeededMs), MemoryKB: x.RAMKb, RunFactor: x.RunFactor, EntryKB: x.EntryKb,
-		Fresh: Duration(x.FreshMs), Gauges: x.Meters, KeepaliveMax: Duration(x.KeepaliveMaxMs),
-		Readiness: x.Readiness, CallShare: x.CallShare, CallWindow: Duration(x.CallsOverMs),
-		CallLinger: Duration(x.StaysForMs), AnswerSlack: Duration(o.AnswerSlackMs), ColdFrom: o.ColdFrom,
-		Ramp: Duration(o.RampTimeMs), DrainGrace: Duration(o.StopSendingWithinMs),
-		FallMultiple: o.FallMultiple, FallWindow: Duration(o.FallMs),
+		HonoursRetry: j.Bounds.RetryAfter, MaxRetryAfter: duration(j.Bounds.MaxRetryAfterMs),
+		FreeValueLife: duration(x.HeededMs), MemoryKB: x.RAMKb, RunFactor: x.RunFactor, EntryKB: x.EntryKb,
+		Fresh: duration(x.FreshMs), Gauges: x.Meters, KeepaliveMax: duration(x.KeepaliveMaxMs),
+		Readiness: x.Readiness, CallShare: x.CallShare, CallWindow: duration(x.CallsOverMs),
+		CallLinger: duration(x.StaysForMs), AnswerSlack: duration(o.AnswerSlackMs), ColdFrom: o.ColdFrom,
+		Ramp: duration(o.RampTimeMs), DrainGrace: duration(o.StopSendingWithinMs),
+		FallMultiple: o.FallMultiple, FallWindow: duration(o.FallMs),
 	}
 	var err error
 	if s.Below, err = pick(belows, "extra.below", x.Below); err != nil {
@@ -124,8 +155,8 @@
 	}
 	for i, l := range j.Lanes {
 		c := rules.Class{
-			Aim: Duration(l.AimMs), AimStretch: l.AimStretch, Deadline: Duration(l.DeadlineMs),
-			LateShare: l.LateShare, Worth: l.Worth, Window: Duration(l.WindowMs),
+			Aim: duration(l.AimMs), AimStretch: l.AimStretch, Deadline: duration(l.DeadlineMs),
+			LateShare: l.LateShare, Worth: l.Worth, Window: duration(l.WindowMs),
 		}
 		if c.Effect, err = pick(effects, "lanes[].effect", l.Effect); err != nil {
 			return s, err
@@ -137,8 +168,10 @@
 			c.SkipWorth = x.ClassSkipWorth[i]
 		}
 		s.Classes = append(s.Classes, c)
+		names.Classes = append(names.Classes, l.Name)
 	}
 	for _, p := range j.Parties {
+		names.Tenants = append(names.Tenants, p.Name)
 		s.Tenants = append(s.Tenants, rules.Tenant{QuotaPerSecond: p.QuotaRps, Share: p.Share})
 	}
 	return s, nil
--- a/internal/simwire/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,4 +1,4 @@
-package simwire
+package settings
 
 import (
 	"testing"
@@ -7,8 +7,8 @@
 	"robinmast/rules"
 )
 
-func TestParseSettings(t *testing.T) {
-	s, err := ParseSettings([]byte(`{"tickMs": 2.5, "groupSize": 10, "novelty": {"x": [1]}, "countedBy": "work",
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(`{"tickMs": 2.5, "groupSize": 10, "novelty": {"x": [1]}, "countedBy": "work",
 		"bounds": {"maxRetryAfterMs": 1000.0, "retryAfter": true},
 		"lanes": [{"aimMs": 2500, "deadlineMs": 7900, "effect": "deduplicated", "windowMs": 5000, "worth": 2},
 		          {"deadlineMs": 100, "effect": "at_most_once"}, {"deadlineMs": 100, "effect": "idempotent"}],
@@ -29,12 +29,12 @@
 	}
 }
 
-func TestParseSettingsRejects(t *testing.T) {
+func TestParseRejects(t *testing.T) {
 	for _, text := range []string{
 		``, `[]`, `{"extra": {"cpus": "six"}}`, `{"extra": {"say": "shout"}}`,
 		`{"extra": {"below": "sea"}}`, `{"extra": {"preemption": "kill"}}`, `{"lanes": [{"effect": "maybe"}]}`,
 	} {
-		if _, err := ParseSettings([]byte(text)); err == nil {
+		if _, err := Parse([]byte(text)); err == nil {
 			t.Errorf("%s: accepted", text)
 		}
 	}
--- a/internal/simwire/frame.go
+++ b/internal/simwire/frame.go
@@ -1,4 +1,4 @@
-// Package simwire reads and writes the simulator's frames and settings. It
+// Package simwire reads and writes the simulator's frames. It
 // knows layouts only; what the fields mean to a node is the rules package's
 // business.
 package simwire
--- /dev/null
+++ b/internal/stream/conn.go
@@ -0,0 +1,285 @@
+// Package stream owns what every connection of the node has in common: one ring
+// buffer a direction, framing that hands on whole messages only, a writer that
+// nobody waits for, and End, the one type of all ways a connection can end. It
+// must never know what a message means, and never block whoever sends.
+package stream
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// stallLimit is how long a peer may take nothing before its connection ends. A
+// machine that stands still for seconds must not lose its answers by it.
+const stallLimit = 30 * time.Second
+
+// Traffic counts connections, bytes and messages; any goroutine may read it.
+type Traffic struct {
+	Opened    atomic.Int64
+	BytesIn   atomic.Int64
+	BytesOut  atomic.Int64
+	Queued    atomic.Int64 // messages given to Send
+	Sent      atomic.Int64 // of those, wholly taken by the network
+	Dropped   atomic.Int64 // of those, ended with their connection
+	Held      atomic.Int64 // bytes of memory in out rings
+	HeldLimit int64        // bound of Held, 0 = none
+	Ended     [numEnds]atomic.Int64
+}
+
+// Conn is a connection whose bytes pass through its two rings. Read belongs to
+// one goroutine; everything else may be called by any.
+type Conn struct {
+	net.Conn
+	traffic *Traffic
+	frame   Framer
+	in      *Ring // owned by the reader
+	ready   int   // bytes at its front that are whole messages
+	partial atomic.Int64
+
+	mu      sync.Mutex
+	out     *Ring
+	queued  uint64   // bytes ever queued
+	sent    uint64   // bytes ever sent
+	marks   []uint64 // where queued messages end, oldest first
+	held    int64    // its part of traffic.Held
+	closing End      // not StillOpen: end so once all is sent
+	end     End
+	wake    chan struct{}
+	done    chan struct{} // closed when the writer has ended
+	onEnd   func(End)
+}
+
+// New wraps a connection and starts its writer. onEnd is called once, when the
+// connection has ended, by the goroutine that ended it; it may be nil.
+func New(c net.Conn, frame Framer, inLimit, outLimit int, t *Traffic, onEnd func(End)) *Conn {
+	t.Opened.Add(1)
+	s := &Conn{
+		Conn: c, traffic: t, frame: frame, in: NewRing(inLimit), out: NewRing(outLimit),
+		wake: make(chan struct{}, 1), done: make(chan struct{}), onEnd: onEnd,
+	}
+	go s.write()
+	return s
+}
+
+// Read fills p with bytes of whole messages only, so that what parses them
+// never has to keep part of one. Broken bytes give an *Error.
+func (c *Conn) Read(p []byte) (int, error) {
+	for c.ready == 0 {
+		space := c.in.Space()
+		if len(space) == 0 {
+			return 0, &Error{End: TooLong}
+		}
+		n, err := c.Conn.Read(space)
+		if n > 0 {
+			c.traffic.BytesIn.Add(int64(n))
+			before := c.in.Len()
+			whole, end := c.frame.Scan(space[:n])
+			if end != StillOpen {
+				return 0, &Error{End: end}
+			}
+			c.in.Commit(n)
+			if whole > 0 {
+				c.ready = before + whole
+			}
+			if c.in.Len() > c.ready {
+				c.partial.CompareAndSwap(0, time.Now().UnixNano())
+			}
+			if whole > 0 && c.in.Len() == c.ready {
+				c.partial.Store(0)
+			}
+		}
+		if err != nil && c.ready == 0 {
+			return 0, err
+		}
+	}
+	n := copy(p, c.in.Front()[:min(c.ready, len(c.in.Front()))])
+	c.in.Discard(n)
+	c.ready -= n
+	return n, nil
+}
+
+// Partial is how long a message has been begun and not finished, 0 if none is.
+func (c *Conn) Partial(now time.Time) time.Duration {
+	since := c.partial.Load()
+	if since == 0 {
+		return 0
+	}
+	return max(now.Sub(time.Unix(0, since)), 0)
+}
+
+// Send queues one message, whole or not at all, and never blocks. A peer that
+// leaves too much unread loses its connection.
+func (c *Conn) Send(msg []byte) bool {
+	c.traffic.Queued.Add(1)
+	c.mu.Lock()
+	if c.end != StillOpen || c.closing != StillOpen {
+		c.mu.Unlock()
+		c.traffic.Dropped.Add(1)
+		return false
+	}
+	ok := c.out.Append(msg)
+	c.account()
+	if limit := c.traffic.HeldLimit; !ok || limit > 0 && c.out.Cap() > smallRing && c.traffic.Held.Load() > limit {
+		if ok {
+			c.marks = append(c.marks, c.queued+uint64(len(msg)))
+		} else {
+			c.traffic.Dropped.Add(1)
+		}
+		c.mu.Unlock()
+		c.Shut(Overflow)
+		return false
+	}
+	c.queued += uint64(len(msg))
+	c.marks = append(c.marks, c.queued)
+	c.mu.Unlock()
+	c.poke()
+	return true
+}
+
+func (c *Conn) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// account keeps the sum of all out rings; the lock must be held.
+func (c *Conn) account() {
+	if now := int64(c.out.Cap()); now != c.held {
+		c.traffic.Held.Add(now - c.held)
+		c.held = now
+	}
+}
+
+// Unsent is the number of messages queued and not yet wholly sent.
+func (c *Conn) Unsent() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.marks)
+}
+
+// Ended is how the connection ended, StillOpen while it has not.
+func (c *Conn) Ended() End {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.end
+}
+
+// Finish ends the connection once all that is queued was sent.
+func (c *Conn) Finish(end End) {
+	c.mu.Lock()
+	if c.closing == StillOpen {
+		c.closing = end
+	}
+	empty := c.out.Len() == 0
+	c.mu.Unlock()
+	if empty {
+		c.Shut(end)
+		return
+	}
+	c.poke()
+}
+
+// Shut ends the connection now. The first End counts; later ones do nothing.
+func (c *Conn) Shut(end End) {
+	c.mu.Lock()
+	if c.end != StillOpen {
+		c.mu.Unlock()
+		return
+	}
+	c.end = end
+	c.traffic.Dropped.Add(int64(len(c.marks)))
+	c.marks = nil
+	c.traffic.Held.Add(-c.held)
+	c.held = 0
+	c.mu.Unlock()
+	c.traffic.Ended[end].Add(1)
+	_ = c.Conn.Close() // nothing more can be done for it
+	c.poke()
+	if c.onEnd != nil {
+		c.onEnd(end)
+	}
+}
+
+// Close ends the connection from this side.
+func (c *Conn) Close() error {
+	c.Shut(LeftByUs)
+	return nil
+}
+
+// Done is closed once the writer has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// write is the writer: it sends what is queued until the connection ends.
+func (c *Conn) write() {
+	defer close(c.done)
+	var waiting time.Time // since when the peer has taken nothing
+	for {
+		c.mu.Lock()
+		if c.end != StillOpen {
+			c.mu.Unlock()
+			return
+		}
+		chunk := c.out.Front()
+		if len(chunk) == 0 {
+			finish := c.closing
+			c.mu.Unlock()
+			if finish != StillOpen {
+				c.Shut(finish)
+				return
+			}
+			<-c.wake
+			continue
+		}
+		c.mu.Unlock()
+		if waiting.IsZero() {
+			waiting = time.Now()
+		}
+		err := c.Conn.SetWriteDeadline(time.Now().Add(stallLimit / 4))
+		n := 0
+		if err == nil {
+			n, err = c.Conn.Write(chunk)
+		}
+		if n > 0 {
+			waiting = time.Time{}
+			c.took(n)
+		}
+		if err == nil || n > 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if time.Since(waiting) < stallLimit {
+				continue
+			}
+			c.Shut(WriteStalled)
+			return
+		}
+		c.Shut(EndOf(err, WriteFailed))
+		return
+	}
+}
+
+// took notes that the network took n bytes.
+func (c *Conn) took(n int) {
+	c.traffic.BytesOut.Add(int64(n))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.end != StillOpen {
+		return
+	}
+	c.out.Discard(n)
+	c.account()
+	c.sent += uint64(n)
+	whole := 0
+	for whole < len(c.marks) && c.marks[whole] <= c.sent {
+		whole++
+	}
+	c.traffic.Sent.Add(int64(whole))
+	if c.marks = c.marks[whole:]; len(c.marks) == 0 {
+		c.marks = nil
+	}
+}
--- /dev/null
+++ b/internal/stream/end.go
@@ -0,0 +1,110 @@
+package stream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+
+	"robinmast/rules"
+)
+
+// End is how a connection ended. Every connection of the node, to dispatchers,
+// to the worker pool and to the membership service, ends in exactly one of
+// these ways.
+type End uint8
+
+// The ways a connection can end.
+const (
+	StillOpen    End = iota
+	PeerClosed       // the peer has sent all it had to say, and closed in order
+	PeerReset        // the peer broke the connection off
+	ReadFailed       // any other trouble while reading
+	WriteFailed      // any other trouble while writing
+	BadFraming       // bytes that are no message
+	TooLong          // a message, or a part of one, beyond its bound
+	ReadStalled      // a message began and did not go on, or an awaited one never came
+	WriteStalled     // the peer took nothing for too long
+	Overflow         // the peer left more unread than is kept for it
+	IdleClosed       // closed here, as it carried nothing for too long
+	LeftByUs         // closed here, as the node leaves or uses another connection
+	DialRefused      // never opened: nobody listens
+	DialFailed       // never opened: any other trouble
+	numEnds
+)
+
+var endNames = [numEnds]string{
+	"open", "peer_closed", "peer_reset", "read_failed", "write_failed", "bad_framing", "too_long",
+	"read_stalled", "write_stalled", "overflow", "idle_closed", "left_by_us", "dial_refused", "dial_failed",
+}
+
+// String is the name that logs and counters use.
+func (e End) String() string {
+	if e < numEnds {
+		return endNames[e]
+	}
+	return "unknown"
+}
+
+// Ends lists every way a connection can end.
+func Ends() []End {
+	all := make([]End, 0, numEnds-1)
+	for e := StillOpen + 1; e < numEnds; e++ {
+		all = append(all, e)
+	}
+	return all
+}
+
+// Outcome is the one place that maps an End to the decision module's outcomes,
+// for whatever was open on the connection. OK means that it stays open: a peer
+// that closed its side in order may still read what it is owed.
+func (e End) Outcome() rules.Outcome {
+	switch e {
+	case StillOpen, PeerClosed:
+		return rules.OK
+	case DialRefused, DialFailed:
+		return rules.ConnectFailed
+	case ReadStalled, WriteStalled, Overflow:
+		return rules.TimedOut
+	case IdleClosed, LeftByUs:
+		return rules.Cancelled
+	}
+	return rules.Reset
+}
+
+// Error is an End as an error, with its cause.
+type Error struct {
+	End   End
+	Cause error
+}
+
+func (e *Error) Error() string {
+	if e.Cause == nil {
+		return e.End.String()
+	}
+	return e.End.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap is the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// EndOf says which End an error of a connection stands for; other is taken
+// where the error itself does not tell.
+func EndOf(err error, other End) End {
+	var own *Error
+	switch {
+	case err == nil:
+		return StillOpen
+	case errors.As(err, &own):
+		return own.End
+	case errors.Is(err, io.EOF):
+		return PeerClosed
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.ErrClosedPipe):
+		return PeerReset
+	case errors.Is(err, net.ErrClosed):
+		return LeftByUs
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return DialRefused
+	}
+	return other
+}
--- /dev/null
+++ b/internal/stream/frame.go
@@ -0,0 +1,155 @@
+package stream
+
+import "bytes"
+
+// Framer finds where messages end, so that only whole ones are handed on. It
+// sees every byte once, in order.
+type Framer interface {
+	// Scan takes the next bytes. It returns how many of them, from the first,
+	// belong to messages that are now whole (0 if none became whole), and the
+	// End that broken bytes deserve, else StillOpen.
+	Scan(p []byte) (whole int, end End)
+}
+
+// Lines frames messages that end in a line feed.
+type Lines struct {
+	Longest int
+	open    int // bytes of the line that is not whole yet
+}
+
+// Scan looks for the last line feed and bounds every line.
+func (l *Lines) Scan(p []byte) (int, End) {
+	whole := 0
+	for {
+		i := bytes.IndexByte(p[whole:], '\n')
+		if i < 0 {
+			break
+		}
+		if l.open+i > l.Longest {
+			return 0, TooLong
+		}
+		whole += i + 1
+		l.open = 0
+	}
+	l.open += len(p) - whole
+	if l.open > l.Longest {
+		return 0, TooLong
+	}
+	return whole, StillOpen
+}
+
+// The bounds of a RESP message. They are far above what the protocol allows, so
+// that a request that is only too big is still answered.
+const (
+	respParts   = 16
+	respPart    = 8 << 10
+	respMessage = 12 << 10
+)
+
+// RESP frames arrays of bulk strings and lets nothing else through. Its bounds
+// guard the command reader behind it, which would take inline commands, keep a
+// bulk of any size, and count to any array length.
+type RESP struct {
+	state  respState
+	number int // of the header at hand
+	digits int
+	parts  int // still to come
+	skip   int // bytes of the bulk and its line end still to come
+	size   int // of the message so far
+}
+
+type respState uint8
+
+const (
+	respStart    respState = iota // at a '*'
+	respNumber                    // in a header's digits
+	respLineFeed                  // at a header's '\n'
+	respDollar                    // at a '$'
+	respBulk                      // inside a bulk
+	respBulkCR                    // at the '\r' after a bulk
+	respBulkLF                    // at the '\n' after a bulk
+)
+
+// Scan follows the framing byte by byte, except inside bulks.
+func (f *RESP) Scan(p []byte) (int, End) {
+	whole := 0
+	for i := 0; i < len(p); i++ {
+		c := p[i]
+		if f.size++; f.size > respMessage {
+			return 0, TooLong
+		}
+		switch f.state {
+		case respStart, respDollar:
+			want := byte('*')
+			if f.state == respDollar {
+				want = '$'
+			}
+			if c != want {
+				return 0, BadFraming
+			}
+			if f.state == respStart {
+				f.parts = -1
+			}
+			f.number, f.digits, f.state = 0, 0, respNumber
+		case respNumber:
+			switch {
+			case c >= '0' && c <= '9' && f.digits < 6:
+				f.number = f.number*10 + int(c-'0')
+				f.digits++
+			case c == '\r' && f.digits > 0:
+				f.state = respLineFeed
+			case c >= '0' && c <= '9':
+				return 0, TooLong
+			default:
+				return 0, BadFraming
+			}
+		case respLineFeed:
+			if c != '\n' {
+				return 0, BadFraming
+			}
+			if f.parts < 0 { // that was the array's header
+				if f.number == 0 {
+					return 0, BadFraming
+				}
+				if f.number > respParts {
+					return 0, TooLong
+				}
+				f.parts, f.state = f.number, respDollar
+				continue
+			}
+			if f.number > respPart {
+				return 0, TooLong
+			}
+			f.skip, f.state = f.number, respBulk
+			if f.skip == 0 {
+				f.state = respBulkCR
+			}
+		case respBulk:
+			n := min(f.skip, len(p)-i)
+			f.skip -= n
+			f.size += n - 1
+			i += n - 1
+			if f.size > respMessage {
+				return 0, TooLong
+			}
+			if f.skip == 0 {
+				f.state = respBulkCR
+			}
+		case respBulkCR:
+			if c != '\r' {
+				return 0, BadFraming
+			}
+			f.state = respBulkLF
+		case respBulkLF:
+			if c != '\n' {
+				return 0, BadFraming
+			}
+			if f.parts--; f.parts > 0 {
+				f.state = respDollar
+				continue
+			}
+			f.state, f.size, whole = respStart, 0, i+1
+		}
+	}
+	return whole, StillOpen
+}
