--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -30,11 +30,12 @@
 const (
 	heapShare    = 0.7                    // of the memory limit that Go's own limit takes: stacks and the kernel need some
 	gcPercent    = 100                    // measured: see docs/results.md
-	ownSockets   = 32                     // descriptors for everything but dispatchers' connections
+	ownSockets   = 16                     // descriptors for everything but dispatchers' connections
 	outShare     = 8                      // part of the memory that all out rings may take: 1 of so many
 	keyShare     = 8                      // part of the memory that kept results may take: 1 of so many
 	exitMargin   = 250 * time.Millisecond // from the last answers to the stop: to flush and exit
 	drainPoll    = 5 * time.Millisecond   // how often a leaving node looks whether it is done
+	finMargin    = 300 * time.Millisecond // from `0 FIN` to the last answers, at least
 	quietExit    = 100 * time.Millisecond // nothing may come in for so long before it leaves early
 	flushTimeout = 150 * time.Millisecond // for the last answers
 )
@@ -130,15 +131,16 @@
 }
 
 // drain leaves: everything read is answered and sent before it returns, and it
-// returns before the process would be killed.
+// returns before the process would be killed. Connections stay open for the
+// grace, since what comes within it still runs and a new connection is work;
+// then each gets `0 FIN` and new ones are refused, which proves that nothing ran.
 func (p *parts) drain(cfg *config, log *slog.Logger, signals <-chan os.Signal) {
 	notice := time.Now()
 	stop := cfg.stop()
 	left := max(stop-exitMargin, stop/2)
 	log.Info("notice to leave", "stop", stop, "in_hand", p.ledger.InHand())
 	p.node.Drain(left)
-	p.front.Fin()
-	grace := min(cfg.set.DrainGrace, left)
+	grace := max(min(cfg.set.DrainGrace, left-finMargin), 0)
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
 	refusing, quiet, read := false, notice, p.ledger.Read.Load()
@@ -154,6 +156,7 @@
 		if !refusing && since >= grace { // what comes from now on would not run
 			refusing = true
 			p.front.StopListening()
+			p.front.Fin()
 		}
 		if now := p.ledger.Read.Load(); now != read || p.ledger.InHand() > 0 || !p.front.Flushed() {
 			read, quiet = now, time.Now()
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,59 @@
+package exchange
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+type counter struct{ replies atomic.Int64 }
+
+func (c *counter) Reply(uint64, Answer) { c.replies.Add(1) }
+
+// However answers, cancels and ends of connections cross, a request ends once
+// and the ledger adds up.
+func TestEndsOnce(t *testing.T) {
+	var l Ledger
+	const requests = 300
+	for i := range requests {
+		c := &counter{}
+		x := New(&l, c, uint64(i+1), Call{})
+		var first atomic.Int64
+		var wg sync.WaitGroup
+		for _, end := range []func() bool{
+			func() bool { return x.Answer(Answer{Kind: Served}) },
+			func() bool { return x.Answer(Answer{Kind: Refused}) },
+			func() bool { return x.Answer(Answer{Kind: Failed}) },
+			func() bool { return x.Abandon(WasCancelled) },
+			func() bool { return x.Abandon(WasGone) },
+		} {
+			wg.Go(func() {
+				if end() {
+					first.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		answered := x.Fate() != WasCancelled && x.Fate() != WasGone
+		if first.Load() != 1 || x.Fate() == Open || (c.replies.Load() == 1) != answered {
+			t.Fatalf("%d ends, fate %v, %d replies", first.Load(), x.Fate(), c.replies.Load())
+		}
+	}
+	sum := int64(0)
+	for f := WasServed; f < numFates; f++ {
+		sum += l.Count(f)
+	}
+	if sum != requests || l.Read.Load() != requests || l.InHand() != 0 {
+		t.Errorf("%d ends of %d requests, %d in hand", sum, l.Read.Load(), l.InHand())
+	}
+}
+
+func TestInHand(t *testing.T) {
+	var l Ledger
+	x := New(&l, &counter{}, 1, Call{})
+	New(&l, &counter{}, 2, Call{})
+	x.Answer(Answer{})
+	if l.InHand() != 1 {
+		t.Errorf("%d in hand, want 1", l.InHand())
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -73,6 +73,10 @@
 	sink   Sink
 	ledger *exchange.Ledger
 
+	// The mechanics' constants, but in tests.
+	limits                           stream.Limits
+	finWait, partialSoft, partialMax time.Duration
+
 	good     atomic.Bool
 	feedback atomic.Pointer[string]
 	idle     atomic.Int64 // idle limit, nanoseconds
@@ -92,6 +96,8 @@
 	s := &Server{
 		cfg: cfg, lanes: newLanes(cfg.Settings, cfg.Names), sink: sink, ledger: ledger,
 		clients: map[*client]struct{}{}, room: make(chan struct{}, 1),
+		limits:  stream.Limits{In: inLimit, Out: outLimit, Stall: stream.StallLimit},
+		finWait: finWait, partialSoft: partialLimit, partialMax: partialMost,
 	}
 	s.Traffic.HeldLimit = cfg.OutBytes
 	s.good.Store(true)
@@ -141,16 +147,16 @@
 
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		for l.ctx.Err() == nil && l.s.full() {
-			select {
-			case <-l.s.room:
-			case <-l.ctx.Done():
-			case <-time.After(acceptPause):
-			}
-		}
 		c, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			for l.ctx.Err() == nil && l.s.full() && !l.s.makeRoom() {
+				select {
+				case <-l.s.room:
+				case <-l.ctx.Done():
+				case <-time.After(acceptPause):
+				}
+			}
 			return l.s.wrap(c), nil
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
@@ -175,6 +181,27 @@
 	return s.cfg.MaxConns > 0 && len(s.clients) >= s.cfg.MaxConns
 }
 
+// makeRoom closes the connection that has carried nothing for longest, if one
+// has nothing open. A connection that the machine has accepted and the node has
+// not may carry requests already, which nobody would answer.
+func (s *Server) makeRoom() bool {
+	var oldest *client
+	var used time.Time
+	for _, c := range s.all() {
+		c.mu.Lock()
+		free, at := len(c.open) == 0, c.used
+		c.mu.Unlock()
+		if free && c.Partial(time.Now()) == 0 && c.Unsent() == 0 && (oldest == nil || at.Before(used)) {
+			oldest, used = c, at
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.Shut(stream.IdleClosed)
+	return true
+}
+
 // complain logs bad input at a bounded rate.
 func (s *Server) complain(what string, err error) {
 	now, last := time.Now().UnixNano(), s.complained.Load()
@@ -200,7 +227,7 @@
 
 func (s *Server) wrap(c net.Conn) *client {
 	cl := &client{s: s, open: map[uint64]*exchange.Exchange{}, used: time.Now()}
-	cl.Conn = stream.New(c, &stream.RESP{}, inLimit, outLimit, &s.Traffic, cl.ended)
+	cl.Conn = stream.New(c, &stream.RESP{}, s.limits, &s.Traffic, cl.ended)
 	s.mu.Lock()
 	s.clients[cl] = struct{}{}
 	leaving := s.leaving
@@ -208,6 +235,9 @@
 	if leaving {
 		cl.sayFin()
 	}
+	if cl.Ended() != stream.StillOpen { // it ended before it was listed
+		cl.ended(cl.Ended())
+	}
 	return cl
 }
 
@@ -489,10 +519,10 @@
 		c.mu.Unlock()
 		partial := c.Partial(now)
 		switch {
-		case partial > partialMost, partial > partialLimit && open == 0:
+		case partial > s.partialMax, partial > s.partialSoft && open == 0:
 			c.Shut(stream.ReadStalled)
 		case open > 0 || partial > 0 || c.Unsent() > 0:
-		case !fin.IsZero() && now.Sub(fin) > finWait && idle > finWait:
+		case !fin.IsZero() && now.Sub(fin) > s.finWait && idle > s.finWait:
 			c.Finish(stream.IdleClosed)
 		case limit > 0 && idle > limit:
 			c.sayFin()
@@ -518,7 +548,7 @@
 }
 
 // Fin tells every dispatcher, and whoever connects later, to send no new
-// request on its connection.
+// request on its connection and to close it.
 func (s *Server) Fin() {
 	s.mu.Lock()
 	s.leaving = true
--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,552 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/settings"
+	"robinmast/internal/stream"
+	"robinmast/rules"
+)
+
+// recorder is a sink that keeps what it is told.
+type recorder struct {
+	mu      sync.Mutex
+	arrived []*exchange.Exchange
+	gone    []*exchange.Exchange
+	answer  *exchange.Answer // given at once, if set
+}
+
+func (r *recorder) Arrived(x *exchange.Exchange) {
+	r.mu.Lock()
+	r.arrived = append(r.arrived, x)
+	a := r.answer
+	r.mu.Unlock()
+	if a != nil {
+		x.Answer(*a)
+	}
+}
+
+func (r *recorder) Gone(x *exchange.Exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = append(r.gone, x)
+}
+
+func (r *recorder) counts() (arrived, gone int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.arrived), len(r.gone)
+}
+
+func (r *recorder) last() *exchange.Exchange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.arrived) == 0 {
+		return nil
+	}
+	return r.arrived[len(r.arrived)-1]
+}
+
+type bench struct {
+	*Server
+	sink   *recorder
+	ledger *exchange.Ledger
+	addr   string
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+func start(t *testing.T, tune func(*Server)) *bench {
+	t.Helper()
+	set := rules.Settings{
+		Classes:      []rules.Class{{Effect: rules.Safe}, {Effect: rules.Keyed}},
+		Tenants:      []rules.Tenant{{}},
+		KeepaliveMax: 30 * time.Second,
+	}
+	names := settings.Names{Classes: []string{"read", "pay"}, Tenants: []string{"acme"}}
+	b := &bench{sink: &recorder{}, ledger: &exchange.Ledger{}}
+	b.Server = New(Config{Settings: set, Names: names, Log: quiet()}, b.sink, b.ledger)
+	if tune != nil {
+		tune(b.Server)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.addr = ln.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- b.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		b.Shut()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+		f := &b.Traffic
+		eventually(t, "messages add up", func() bool {
+			return f.Queued.Load() == f.Sent.Load()+f.Dropped.Load() && f.Held.Load() == 0
+		})
+		ended := int64(0)
+		for _, e := range stream.Ends() {
+			ended += f.Ended[e].Load()
+		}
+		if ended != f.Opened.Load() || b.ledger.InHand() != 0 {
+			t.Errorf("%d connections opened and %d ended, %d requests without an end", f.Opened.Load(), ended, b.ledger.InHand())
+		}
+	})
+	return b
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// dispatcher stands in for a dispatcher, from the published protocol.
+type dispatcher struct {
+	t *testing.T
+	*net.TCPConn
+	rd *bufio.Reader
+}
+
+func (b *bench) dial(t *testing.T) *dispatcher {
+	t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &dispatcher{t: t, TCPConn: c.(*net.TCPConn), rd: bufio.NewReader(c)}
+}
+
+func words(parts ...string) []byte {
+	b := redcon.AppendArray(nil, len(parts))
+	for _, p := range parts {
+		b = redcon.AppendBulkString(b, p)
+	}
+	return b
+}
+
+func (d *dispatcher) say(parts ...string) {
+	d.t.Helper()
+	if _, err := d.Write(words(parts...)); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// hear reads one answer; "EOF" if the connection ended.
+func (d *dispatcher) hear() string {
+	d.t.Helper()
+	_ = d.SetReadDeadline(time.Now().Add(5 * time.Second))
+	var n int
+	if _, err := fmt.Fscanf(d.rd, "*%d\r\n", &n); err != nil {
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			d.t.Fatal("no answer")
+		}
+		return "EOF"
+	}
+	parts := make([]string, n)
+	for i := range parts {
+		var size int
+		if _, err := fmt.Fscanf(d.rd, "$%d\r\n", &size); err != nil {
+			d.t.Fatalf("answer cut short: %v", err)
+		}
+		body := make([]byte, size+2)
+		if _, err := io.ReadFull(d.rd, body); err != nil {
+			d.t.Fatalf("answer cut short: %v", err)
+		}
+		parts[i] = string(body[:size])
+	}
+	return strings.Join(parts, " ")
+}
+
+const (
+	fields = "txn=9b1f03aa5c7e2d41,door=1764576000123,lb=4,team=acme,limit=480,second=1,cpu=12.50,ram=24.5," +
+		"standing=0.6250,item=7f3a9c21e0b4d655,later=never"
+	keyed = "txn=9b1f03aa5c7e2d41,door=1764576000123,lb=4,team=acme,ram=24.5,standing=0.6250,unique=abc"
+)
+
+func TestCallIsReadWhole(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	body := strings.Repeat("\r\n*1\x00", 300)
+	d.say("RPC.CALL", "7", "read", fields, body)
+	eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	x := b.sink.last()
+	want := exchange.Call{
+		Txn: "9b1f03aa5c7e2d41", ClassName: "read", Class: 0, Tenant: 0, Caller: 4, Door: 1764576000123, Limit: 480,
+		HintMs: 12.5, KB: 24.5, Rank: 0.625, Retry: true, Item: "7f3a9c21e0b4d655", Safe: true, Body: []byte(body),
+	}
+	if fmt.Sprintf("%+v", x.Call) != fmt.Sprintf("%+v", want) {
+		t.Errorf("read %+v", x.Call)
+	}
+	// The words of a message live in its reader's buffer; what is kept must not.
+	d.say("RPC.CALL", "8", "pay", keyed, strings.Repeat("z", 2000))
+	eventually(t, "second arrival", func() bool { a, _ := b.sink.counts(); return a == 2 })
+	if string(x.Body) != body || x.Txn != want.Txn {
+		t.Error("a later message changed what was kept")
+	}
+	if y := b.sink.last(); y.Unique != "abc" || y.Safe || y.Retry || y.Limit != 0 {
+		t.Errorf("read %+v", y.Call)
+	}
+	x.Answer(exchange.Answer{Kind: exchange.Failed})
+	b.sink.last().Answer(exchange.Answer{Kind: exchange.Failed})
+}
+
+func TestAnswers(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	result := strings.Repeat("\x00\r\n", 1300)
+	for i, c := range []struct {
+		say    float64
+		answer exchange.Answer
+		want   string
+	}{
+		{-1, exchange.Answer{Kind: exchange.Served, Body: []byte(result)}, "ACK  " + result},
+		{-1, exchange.Answer{Kind: exchange.Refused}, "NAK  "},
+		{0.75, exchange.Answer{Kind: exchange.Served}, "ACK feedback=0.7500 "},
+		{-1, exchange.Answer{Kind: exchange.Refused, RetryAfter: 120500 * time.Microsecond, Last: true},
+			"NAK feedback=0.7500,later=120,giveup=1 "},
+		{0, exchange.Answer{Kind: exchange.Refused, RetryAfter: time.Microsecond}, "NAK feedback=0.0000,later=1 "},
+		{-1, exchange.Answer{Kind: exchange.Failed}, "FAIL feedback=0.0000 "},
+	} {
+		if c.say >= 0 {
+			b.Say(c.say)
+		}
+		b.sink.mu.Lock()
+		b.sink.answer = &c.answer
+		b.sink.mu.Unlock()
+		d.say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
+		if got := d.hear(); got != fmt.Sprint(i+1, " ", c.want) {
+			t.Errorf("answer %q, want %q", got, c.want)
+		}
+	}
+}
+
+func TestHealth(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	d.say("RPC.HEALTH", "1", "")
+	if got := d.hear(); got != "1 GREEN  " {
+		t.Errorf("%q", got)
+	}
+	b.SetHealth(false)
+	b.Say(0.5)
+	d.say("RPC.HEALTH", "2")
+	if got := d.hear(); got != "2 RED feedback=0.5000 " {
+		t.Errorf("%q", got)
+	}
+}
+
+// What can't be read as a request is answered as failed, never reaches the
+// decisions, and leaves the connection usable.
+func TestBadRequests(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	without := func(name string) string {
+		var keep []string
+		for _, f := range strings.Split(fields, ",") {
+			if !strings.HasPrefix(f, name+"=") {
+				keep = append(keep, f)
+			}
+		}
+		return strings.Join(keep, ",")
+	}
+	with := func(name, value string) string { return without(name) + "," + name + "=" + value }
+	good := 0
+	for name, c := range map[string]struct {
+		msg []string
+		tag string
+	}{
+		"unknown command":  {[]string{"RPC.SHOUT", "5", "x"}, "5"},
+		"lone word":        {[]string{"PING"}, "0"},
+		"tag 0":            {[]string{"RPC.CALL", "0", "read", fields, "x"}, "0"},
+		"tag of letters":   {[]string{"RPC.CALL", "x7", "read", fields, "x"}, "0"},
+		"negative tag":     {[]string{"RPC.CALL", "-7", "read", fields, "x"}, "0"},
+		"endless tag":      {[]string{"RPC.CALL", "99999999999999999999", "read", fields, "x"}, "0"},
+		"no class":         {[]string{"RPC.CALL", "5"}, "5"},
+		"too many parts":   {[]string{"RPC.CALL", "5", "read", fields, "x", "y"}, "5"},
+		"unknown class":    {[]string{"RPC.CALL", "5", "write", fields, "x"}, "5"},
+		"big body":         {[]string{"RPC.CALL", "5", "read", fields, strings.Repeat("x", 2049)}, "5"},
+		"no fields":        {[]string{"RPC.CALL", "5", "read", "", "x"}, "5"},
+		"field alone":      {[]string{"RPC.CALL", "5", "read", fields + ",second", "x"}, "5"},
+		"field twice":      {[]string{"RPC.CALL", "5", "read", fields + ",lb=4", "x"}, "5"},
+		"no txn":           {[]string{"RPC.CALL", "5", "read", without("txn"), "x"}, "5"},
+		"short txn":        {[]string{"RPC.CALL", "5", "read", with("txn", "9b1f"), "x"}, "5"},
+		"txn not hex":      {[]string{"RPC.CALL", "5", "read", with("txn", `9b1f03aa5c7e2d4"`), "x"}, "5"},
+		"no door":          {[]string{"RPC.CALL", "5", "read", without("door"), "x"}, "5"},
+		"negative door":    {[]string{"RPC.CALL", "5", "read", with("door", "-1"), "x"}, "5"},
+		"door not number":  {[]string{"RPC.CALL", "5", "read", with("door", "NaN"), "x"}, "5"},
+		"no lb":            {[]string{"RPC.CALL", "5", "read", without("lb"), "x"}, "5"},
+		"negative limit":   {[]string{"RPC.CALL", "5", "read", with("limit", "-480"), "x"}, "5"},
+		"endless limit":    {[]string{"RPC.CALL", "5", "read", with("limit", "+Inf"), "x"}, "5"},
+		"negative cpu":     {[]string{"RPC.CALL", "5", "read", with("cpu", "-1"), "x"}, "5"},
+		"no ram":           {[]string{"RPC.CALL", "5", "read", without("ram"), "x"}, "5"},
+		"ram of 0":         {[]string{"RPC.CALL", "5", "read", with("ram", "0"), "x"}, "5"},
+		"ram too big":      {[]string{"RPC.CALL", "5", "read", with("ram", "2000"), "x"}, "5"},
+		"no standing":      {[]string{"RPC.CALL", "5", "read", without("standing"), "x"}, "5"},
+		"standing of 1":    {[]string{"RPC.CALL", "5", "read", with("standing", "1"), "x"}, "5"},
+		"unknown tenant":   {[]string{"RPC.CALL", "5", "read", with("team", "nobody"), "x"}, "5"},
+		"no tenant":        {[]string{"RPC.CALL", "5", "read", without("team"), "x"}, "5"},
+		"keyed, no key":    {[]string{"RPC.CALL", "5", "pay", fields, "x"}, "5"},
+		"health, tag of 0": {[]string{"RPC.HEALTH", "0", ""}, "0"},
+	} {
+		d.say(c.msg...)
+		if got := d.hear(); got != c.tag+" FAIL  " {
+			t.Errorf("%s: %q", name, got)
+		}
+		good++
+		d.say("RPC.HEALTH", "9")
+		if got := d.hear(); got != "9 GREEN  " {
+			t.Fatalf("%s: the connection is of no more use: %q", name, got)
+		}
+	}
+	if a, g := b.sink.counts(); a != 0 || g != 0 {
+		t.Errorf("%d of them arrived, %d went", a, g)
+	}
+	if c := b.ledger.Count(exchange.WasFailed); c != b.Counters.Malformed.Load() || c == 0 || c != b.ledger.Read.Load() {
+		t.Errorf("%d failed, %d malformed, %d read", c, b.Counters.Malformed.Load(), b.ledger.Read.Load())
+	}
+}
+
+func TestOpenTags(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	for i := range maxOpen {
+		d.say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
+	}
+	d.say("RPC.CALL", "33", "read", fields, "x")
+	if got := d.hear(); got != "33 FAIL  " {
+		t.Errorf("over the bound: %q", got)
+	}
+	d.say("RPC.CANCEL", "999")
+	d.say("RPC.CANCEL", "")
+	d.say("RPC.CANCEL", "2")
+	d.say("RPC.CALL", "3", "read", fields, "x")
+	if got := d.hear(); got != "3 FAIL  " {
+		t.Errorf("open tag: %q", got)
+	}
+	d.say("RPC.CALL", "34", "read", fields, "x") // 2 left room
+	eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == maxOpen+1 && g == 1 })
+	b.sink.mu.Lock()
+	list := append([]*exchange.Exchange(nil), b.sink.arrived...)
+	b.sink.mu.Unlock()
+	if list[1].Fate() != exchange.WasCancelled || b.Counters.Unmatched.Load() != 2 {
+		t.Errorf("fate %v, %d cancels without a request", list[1].Fate(), b.Counters.Unmatched.Load())
+	}
+	for i := len(list) - 1; i >= 0; i-- { // answers may come in any order
+		if list[i].Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")}) != (i != 1) {
+			t.Errorf("answer to request %d", i)
+		}
+	}
+	for i := len(list) - 1; i >= 0; i-- {
+		if i == 1 {
+			continue
+		}
+		tag := i + 1
+		if i == maxOpen {
+			tag = 34
+		}
+		if got := d.hear(); got != fmt.Sprint(tag, " ACK  r") {
+			t.Errorf("%q, want tag %d", got, tag)
+		}
+	}
+	d.say("RPC.CANCEL", "1") // crossed its answer
+	d.say("RPC.HEALTH", "50")
+	if got := d.hear(); got != "50 GREEN  " {
+		t.Errorf("%q", got)
+	}
+}
+
+// A connection that ends, in whatever way, lets go of what is open on it, at
+// every point of a request's life, and of nothing else.
+func TestEndsLetGo(t *testing.T) {
+	flood := func(d *dispatcher) { // takes no answers and asks for ever more
+		for i := 0; ; i++ {
+			_ = d.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
+			if _, err := d.Write(words("RPC.HEALTH", fmt.Sprint(100+i), "")); err != nil {
+				return
+			}
+		}
+	}
+	for name, c := range map[string]struct {
+		do   func(*dispatcher)
+		want stream.End
+	}{
+		"reset":          {func(d *dispatcher) { d.SetLinger(0); d.Close() }, stream.PeerReset},
+		"inline command": {func(d *dispatcher) { d.Write([]byte("PING\r\n")) }, stream.BadFraming},
+		"endless bulk":   {func(d *dispatcher) { d.Write([]byte("*1\r\n$999999\r\n")) }, stream.TooLong},
+		"broken framing": {func(d *dispatcher) { d.Write([]byte("*1\r\n$1\r\nxx\r\n")) }, stream.BadFraming},
+		"half a message": {func(d *dispatcher) { d.Write([]byte("*5\r\n$8\r\nRPC.CA")) }, stream.ReadStalled},
+		"takes nothing":  {flood, stream.Overflow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, func(s *Server) {
+				s.partialSoft, s.partialMax = 50*time.Millisecond, 100*time.Millisecond
+				s.limits.Out = 4 << 10
+			})
+			other, d := b.dial(t), b.dial(t)
+			other.say("RPC.CALL", "1", "read", fields, "x")
+			eventually(t, "first arrival", func() bool { a, _ := b.sink.counts(); return a == 1 })
+			kept := b.sink.last()
+			d.say("RPC.CALL", "1", "read", fields, "x") // answered and heard
+			d.say("RPC.CALL", "2", "read", fields, "x") // open
+			d.say("RPC.CALL", "3", "read", fields, "x") // cancelled
+			d.say("RPC.CANCEL", "3")
+			eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == 4 && g == 1 })
+			b.sink.arrived[1].Answer(exchange.Answer{Kind: exchange.Refused})
+			if got := d.hear(); got != "1 NAK  " {
+				t.Fatalf("%q", got)
+			}
+			c.do(d)
+			eventually(t, "letting go", func() bool { _, g := b.sink.counts(); return g == 2 })
+			open := b.sink.arrived[2]
+			if open.Fate() != exchange.WasGone || b.sink.gone[1] != open {
+				t.Errorf("the open request is %v", open.Fate())
+			}
+			if open.Answer(exchange.Answer{}) {
+				t.Error("answered after its connection ended")
+			}
+			if n := b.Traffic.Ended[c.want].Load(); n != 1 {
+				t.Errorf("no end by %v", c.want)
+			}
+			kept.Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
+			if got := other.hear(); got != "1 ACK  r" {
+				t.Errorf("the other connection: %q", got)
+			}
+		})
+	}
+}
+
+// A dispatcher that closes its side in order may still read; it gets what it is
+// owed, and then the connection ends.
+func TestHalfClosedIsStillAnswered(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	d.say("RPC.CALL", "1", "read", fields, "x")
+	d.CloseWrite()
+	eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	time.Sleep(20 * time.Millisecond)
+	b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
+	if got := d.hear(); got != "1 ACK  r" {
+		t.Errorf("%q", got)
+	}
+	if got := d.hear(); got != "EOF" {
+		t.Errorf("%q", got)
+	}
+	eventually(t, "end", func() bool { return b.Traffic.Ended[stream.PeerClosed].Load() == 1 })
+}
+
+// An idle connection is asked to close, and closed if it doesn't; one that
+// carries something is left alone.
+func TestIdle(t *testing.T) {
+	b := start(t, func(s *Server) { s.finWait = 50 * time.Millisecond })
+	d, busy := b.dial(t), b.dial(t)
+	busy.say("RPC.CALL", "1", "read", fields, "x")
+	b.CloseIdle(40 * time.Millisecond)
+	if got := d.hear(); got != "0 FIN" {
+		t.Errorf("%q", got)
+	}
+	if got := d.hear(); got != "EOF" {
+		t.Errorf("%q", got)
+	}
+	if n := b.Traffic.Ended[stream.IdleClosed].Load(); n != 1 {
+		t.Errorf("%d closed as idle", n)
+	}
+	b.CloseIdle(0) // back to the longest
+	b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
+	if got := busy.hear(); got != "1 ACK  r" {
+		t.Errorf("%q", got)
+	}
+}
+
+// Leaving: every connection is told once, answers still go out, and closing the
+// listener ends none of them (redcon would close all it knows).
+func TestLeaving(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	d.say("RPC.CALL", "1", "read", fields, "x")
+	eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	b.StopListening()
+	b.Fin()
+	b.Fin()
+	if got := d.hear(); got != "0 FIN" {
+		t.Errorf("%q", got)
+	}
+	time.Sleep(20 * time.Millisecond)
+	b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
+	if got := d.hear(); got != "1 ACK  r" {
+		t.Errorf("%q", got)
+	}
+	eventually(t, "flush", b.Flushed)
+	if c, err := net.Dial("tcp", b.addr); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
+
+// At its bound of connections the node closes the one idle for longest, so that
+// requests on a connection which only the machine has accepted get read; busy
+// ones stay, and a new one then waits.
+func TestRoomForConnections(t *testing.T) {
+	b := start(t, func(s *Server) { s.cfg.MaxConns = 2 })
+	busy, idle := b.dial(t), b.dial(t)
+	busy.say("RPC.CALL", "1", "read", fields, "x")
+	eventually(t, "arrival", func() bool { return b.sink.last() != nil && b.Conns() == 2 })
+	third := b.dial(t)
+	third.say("RPC.CALL", "1", "read", fields, "x")
+	if got := idle.hear(); got != "EOF" {
+		t.Errorf("the idle one hears %q", got)
+	}
+	eventually(t, "second arrival", func() bool { a, _ := b.sink.counts(); return a == 2 })
+	fourth := b.dial(t)
+	fourth.say("RPC.HEALTH", "1")
+	time.Sleep(30 * time.Millisecond)
+	if b.Conns() != 2 {
+		t.Errorf("%d connections", b.Conns())
+	}
+	b.sink.arrived[0].Answer(exchange.Answer{Kind: exchange.Failed})
+	if got := busy.hear(); got != "1 FAIL  " {
+		t.Errorf("%q", got)
+	}
+	if got := fourth.hear(); got != "1 GREEN  " {
+		t.Errorf("%q", got)
+	}
+	b.sink.arrived[1].Answer(exchange.Answer{Kind: exchange.Failed})
+}
+
+// Any fields at all are either understood within their bounds or turned down.
+func FuzzCall(f *testing.F) {
+	f.Add("read", fields, "x")
+	f.Add("pay", keyed, "")
+	f.Add("read", "txn=,door=1e999,limit=-0,ram=NaN", "x")
+	l := newLanes(rules.Settings{Classes: []rules.Class{{}, {Effect: rules.Keyed}}, Tenants: []rules.Tenant{{}}},
+		settings.Names{Classes: []string{"read", "pay"}, Tenants: []string{"acme"}})
+	f.Fuzz(func(t *testing.T, class, fields, body string) {
+		c, err := l.parseCall([]byte(class), []byte(fields), []byte(body))
+		if err != nil {
+			return
+		}
+		if len(c.Txn) != 16 || c.Door < 0 || c.Limit < 0 || c.HintMs < 0 || !(c.KB > 0 && c.KB < 2000) ||
+			!(c.Rank >= 0 && c.Rank < 1) || len(c.Body) > 2048 || string(c.Body) != body || c.ClassName != class {
+			t.Fatalf("taken: %+v", c)
+		}
+	})
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -34,6 +34,7 @@
 	url    string
 	client *http.Client
 	log    *slog.Logger
+	period time.Duration // the constant, but in tests
 	out    atomic.Bool
 	change chan struct{}
 }
@@ -45,7 +46,7 @@
 		MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
 	}
 	return &Reporter{
-		url: "http://" + addr + "/members/" + url.PathEscape(name), log: log,
+		period: period, url: "http://" + addr + "/members/" + url.PathEscape(name), log: log,
 		client: &http.Client{Transport: t, Timeout: timeout}, change: make(chan struct{}, 1),
 	}
 }
@@ -71,7 +72,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause := period - time.Since(began)
+		pause := r.period - time.Since(began)
 		if err != nil {
 			r.Failed.Add(1)
 			if !failing || time.Since(logged) > logGap {
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,130 @@
+package members
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func run(t *testing.T, addr string) *Reporter {
+	t.Helper()
+	r := New(addr, "n3", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	r.period = 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return r
+}
+
+func TestReports(t *testing.T) {
+	var mu sync.Mutex
+	var got []string
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		mu.Lock()
+		got = append(got, fmt.Sprint(q.Method, " ", q.URL.Path, " ", q.ContentLength, " ", string(body)))
+		mu.Unlock()
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer srv.Close()
+	r := run(t, strings.TrimPrefix(srv.URL, "http://"))
+	eventually(t, "three reports", func() bool { return r.Sent.Load() >= 3 })
+	r.SetUp(true) // no change
+	r.SetUp(false)
+	eventually(t, "the change", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return got[len(got)-1] == `PUT /members/n3 15 {"phase":"OUT"}`
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if got[0] != `PUT /members/n3 14 {"phase":"UP"}` {
+		t.Errorf("first report %q", got[0])
+	}
+}
+
+// Whatever the service does, reports go on and are taken once it is well, and
+// nobody who sets the phase waits.
+func TestTroubles(t *testing.T) {
+	for name, bad := range map[string]func(net.Conn){
+		"resets":     func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"closes":     func(c net.Conn) { c.Close() },
+		"hangs":      func(c net.Conn) { time.Sleep(3 * time.Second); c.Close() },
+		"says 500":   func(c net.Conn) { io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"); c.Close() },
+		"says 200":   func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); c.Close() },
+		"babbles":    func(c net.Conn) { io.WriteString(c, strings.Repeat("x", 1<<20)); c.Close() },
+		"never ends": func(c net.Conn) { io.WriteString(c, "HTTP/1.1 204 No Content\r\nX: "); time.Sleep(3 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			var well atomic.Bool
+			go func() {
+				for {
+					c, err := ln.Accept()
+					if err != nil {
+						return
+					}
+					if !well.Load() {
+						go bad(c)
+						continue
+					}
+					go func() {
+						buf := make([]byte, 4096)
+						for {
+							n, err := c.Read(buf)
+							if err != nil {
+								return
+							}
+							if strings.Contains(string(buf[:n]), `"phase"`) {
+								io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+							}
+						}
+					}()
+				}
+			}()
+			r := run(t, ln.Addr().String())
+			eventually(t, "failure", func() bool { return r.Failed.Load() >= 2 })
+			began := time.Now()
+			r.SetUp(false)
+			r.SetUp(true)
+			if d := time.Since(began); d > 100*time.Millisecond {
+				t.Errorf("setting the phase took %v", d)
+			}
+			sent := r.Sent.Load()
+			well.Store(true)
+			eventually(t, "recovery", func() bool { return r.Sent.Load() > sent+1 })
+		})
+	}
+}
+
+// Two tries in a row may fail, by time-out too, before an entry would lapse.
+func TestPeriodLeavesRoom(t *testing.T) {
+	const lapse = 3 * time.Second
+	if worst := period + 2*timeout + backoffMin + 2*backoffMin; worst > lapse-300*time.Millisecond {
+		t.Errorf("a report may come %v after the one before", worst)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,7 +26,7 @@
 const (
 	longestLine = 24 << 10               // a result of 4 KiB in base64, and room
 	inLimit     = longestLine + 8<<10    // in ring
-	outLimit    = 8 << 20                // out ring: commands of a thousand requests and more
+	outLimit    = 8 << 20                // out ring: commands of two thousand requests
 	dialTimeout = time.Second            // per try
 	backoffMin  = 10 * time.Millisecond  // between tries to connect
 	backoffMax  = 500 * time.Millisecond // the same after many
@@ -83,9 +83,10 @@
 	Counters Counters
 	Traffic  stream.Traffic
 
-	addr string
-	sink Sink
-	log  *slog.Logger
+	addr  string
+	sink  Sink
+	log   *slog.Logger
+	quiet time.Duration // quietLimit, but in tests
 
 	mu    sync.Mutex
 	conn  *stream.Conn // nil while there is no link
@@ -101,7 +102,7 @@
 
 // New returns a link to the worker pool at addr; Run brings it up.
 func New(addr string, sink Sink, log *slog.Logger) *Link {
-	return &Link{addr: addr, sink: sink, log: log, runs: map[string]*run{}}
+	return &Link{addr: addr, sink: sink, log: log, quiet: quietLimit, runs: map[string]*run{}}
 }
 
 // command is what the node sends.
@@ -226,7 +227,8 @@
 		l.Counters.Dials.Add(1)
 		return stream.EndOf(err, stream.DialFailed), fmt.Errorf("dial worker pool: %w", err)
 	}
-	c := stream.New(raw, &stream.Lines{Longest: longestLine}, inLimit, outLimit, &l.Traffic, nil)
+	c := stream.New(raw, &stream.Lines{Longest: longestLine},
+		stream.Limits{In: inLimit, Out: outLimit, Stall: l.quiet}, &l.Traffic, nil)
 	stop := context.AfterFunc(ctx, func() { c.Shut(stream.LeftByUs) })
 	defer stop()
 	l.mu.Lock()
@@ -249,7 +251,7 @@
 	lines.Buffer(make([]byte, 0, 8<<10), longestLine+2)
 	for {
 		if l.isReady() {
-			if err := c.SetReadDeadline(time.Now().Add(quietLimit)); err != nil {
+			if err := c.SetReadDeadline(time.Now().Add(l.quiet)); err != nil {
 				return fmt.Errorf("bound the wait for a line: %w", err)
 			}
 		}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,397 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/stream"
+)
+
+type finish struct {
+	x    *exchange.Exchange
+	end  End
+	took time.Duration
+	body string
+}
+
+type recorder struct {
+	mu     sync.Mutex
+	bound  []bool
+	since  time.Duration
+	done   []finish
+	gauges []float64
+}
+
+func (r *recorder) Bound(cold bool, since time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bound, r.since = append(r.bound, cold), since
+}
+
+func (r *recorder) Finished(x *exchange.Exchange, end End, took time.Duration, result []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done = append(r.done, finish{x, end, took, string(result)})
+}
+
+func (r *recorder) Polled(v []float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gauges = v
+}
+
+func (r *recorder) finished() []finish {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]finish(nil), r.done...)
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// workers stands in for the worker pool, from the published protocol: the test
+// plays its part line by line.
+type workers struct {
+	t  *testing.T
+	ln net.Listener
+	c  net.Conn
+	rd *bufio.Reader
+}
+
+func start(t *testing.T) (*Link, *recorder, *workers) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sink := &recorder{}
+	l := New(ln.Addr().String(), sink, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	l.quiet = 300 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	w := &workers{t: t, ln: ln}
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		ln.Close()
+		if w.c != nil {
+			w.c.Close()
+		}
+		ended := int64(0)
+		for _, e := range stream.Ends() {
+			ended += l.Traffic.Ended[e].Load()
+		}
+		if ended != l.Traffic.Opened.Load() || l.Traffic.Queued.Load() != l.Traffic.Sent.Load()+l.Traffic.Dropped.Load() {
+			t.Errorf("links or commands don't add up: %d opened, %d ended", l.Traffic.Opened.Load(), ended)
+		}
+		over := int64(0)
+		for i := range l.Counters.Finished {
+			over += l.Counters.Finished[i].Load()
+		}
+		if l.Counters.Spawned.Load() != over+int64(l.Runs()) {
+			t.Errorf("%d spawned, %d over, %d running", l.Counters.Spawned.Load(), over, l.Runs())
+		}
+	})
+	return l, sink, w
+}
+
+// accept takes the next link and its bind.
+func (w *workers) accept(after int) {
+	w.t.Helper()
+	c, err := w.ln.Accept()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if w.c != nil {
+		w.c.Close()
+	}
+	w.c, w.rd = c, bufio.NewReader(c)
+	w.expect(fmt.Sprintf(`{"op":"bind","seq":%d}`, after))
+}
+
+func (w *workers) say(lines ...string) {
+	w.t.Helper()
+	if _, err := w.c.Write([]byte(strings.Join(lines, "\n") + "\n")); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *workers) expect(want string) {
+	w.t.Helper()
+	_ = w.c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	line, err := w.rd.ReadString('\n')
+	if err != nil {
+		w.t.Fatalf("waiting for %s: %v", want, err)
+	}
+	if line = strings.TrimSuffix(line, "\n"); line != want {
+		w.t.Fatalf("got %s, want %s", line, want)
+	}
+}
+
+// silent fails if anything is said for a moment.
+func (w *workers) silent() {
+	w.t.Helper()
+	_ = w.c.SetReadDeadline(time.Now().Add(30 * time.Millisecond))
+	if line, err := w.rd.ReadString('\n'); err == nil {
+		w.t.Fatalf("said too early: %s", line)
+	}
+}
+
+// open binds the link of the given number with nothing to replay.
+func (w *workers) open(link, after int) {
+	w.t.Helper()
+	w.accept(after)
+	w.say(`{"op":"bound","end":"hot","ms":5}`)
+	w.expect(fmt.Sprintf(`{"op":"poll","tag":"r%d"}`, link))
+	w.say(fmt.Sprintf(`{"op":"polled","tag":"r%d","values":[0,0]}`, link))
+}
+
+var ledger exchange.Ledger
+
+type nobody struct{}
+
+func (nobody) Reply(uint64, exchange.Answer) {}
+
+func request(txn string, safe bool) *exchange.Exchange {
+	return exchange.New(&ledger, nobody{}, 1, exchange.Call{
+		Txn: txn, ClassName: "read", Safe: safe, Body: []byte("\x00body\n\"\xff"),
+	})
+}
+
+func spawnLine(txn string) string {
+	return `{"op":"spawn","id":"` + txn + `","class":"read","body":"` +
+		base64.StdEncoding.EncodeToString([]byte("\x00body\n\"\xff")) + `"}`
+}
+
+// The id, class and body go as they came, the result comes back unchanged, and
+// every end of a run is told as what it is.
+func TestRuns(t *testing.T) {
+	l, sink, w := start(t)
+	w.accept(0)
+	w.say(`{"op":"bound","end":"chilly","ms":1234.5}`)
+	w.expect(`{"op":"poll","tag":"r1"}`)
+	a := request("a", true)
+	l.Spawn(a) // waits for the replay to end
+	w.silent()
+	w.say(`{"op":"polled","tag":"r1","values":[0.5,3,0.1,7]}`)
+	w.expect(spawnLine("a"))
+	if len(sink.bound) != 1 || !sink.bound[0] || sink.since != 1234500*time.Microsecond {
+		t.Errorf("bound %v since %v", sink.bound, sink.since)
+	}
+	eventually(t, "gauges", func() bool { sink.mu.Lock(); defer sink.mu.Unlock(); return len(sink.gauges) == 4 })
+	ends := map[string]End{"b": Error, "c": Cancelled, "d": Moot}
+	for _, id := range []string{"b", "c", "d"} {
+		l.Spawn(request(id, true))
+		w.expect(spawnLine(id))
+	}
+	l.Suspend(a)
+	l.Suspend(a) // once is enough
+	w.expect(`{"op":"suspend","id":"a"}`)
+	l.Poll()
+	w.expect(`{"op":"poll","tag":"g"}`)
+	result := base64.StdEncoding.EncodeToString([]byte(strings.Repeat("\x00\xfe", 2000)))
+	w.say(`{"op":"chatter","seq":1,"end":"hello"}`,
+		`{"op":"finished","seq":2,"id":"b","end":"error","ms":7}`,
+		`{"op":"finished","seq":3,"id":"c","end":"cancelled","ms":8}`,
+		`{"op":"finished","seq":4,"id":"d","end":"unknown","ms":0}`,
+		`{"op":"finished","seq":5,"id":"a","end":"complete","ms":9.25,"body":"`+result+`"}`)
+	eventually(t, "ends", func() bool { return len(sink.finished()) == 4 })
+	for _, f := range sink.finished() {
+		if f.x == a {
+			if f.end != Complete || f.body != strings.Repeat("\x00\xfe", 2000) || f.took != 9250*time.Microsecond {
+				t.Errorf("a ended as %v after %v with %d bytes", f.end, f.took, len(f.body))
+			}
+		} else if f.end != ends[f.x.Txn] {
+			t.Errorf("%s ended as %v", f.x.Txn, f.end)
+		}
+	}
+}
+
+// A lost link loses no run and repeats none: what ended meanwhile is taken from
+// the replay before anything is spawned, and only the rest is asked for again.
+func TestLinkLost(t *testing.T) {
+	l, sink, w := start(t)
+	w.open(1, 0)
+	a, b, c := request("a", false), request("b", true), request("c", true)
+	for _, x := range []*exchange.Exchange{a, b} {
+		l.Spawn(x)
+		w.expect(spawnLine(x.Txn))
+	}
+	w.say(`{"op":"chatter","seq":1,"end":""}`)
+	eventually(t, "first notice", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.last == 1 })
+	w.c.Close()
+	eventually(t, "loss", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return !l.ready })
+	l.Spawn(c)
+	d := request("d", true)
+	l.Spawn(d)
+	l.Suspend(d) // never sent: it ends here
+	l.Suspend(b) // may run: it must be said
+	w.accept(1)
+	w.silent()
+	w.say(`{"op":"bound","end":"hot","ms":5}`, `{"op":"finished","seq":2,"id":"a","end":"complete","ms":3,"body":"cg=="}`)
+	w.expect(`{"op":"poll","tag":"r2"}`)
+	w.silent()
+	w.say(`{"op":"polled","tag":"r1","values":[]}`) // not the one waited for
+	w.silent()
+	w.say(`{"op":"polled","tag":"r2","values":[]}`)
+	w.expect(spawnLine("b"))
+	w.expect(`{"op":"suspend","id":"b"}`)
+	w.expect(spawnLine("c"))
+	w.silent()
+	got := sink.finished()
+	if len(got) != 2 || got[0].x != d || got[0].end != Cancelled || got[1].x != a || got[1].body != "r" {
+		t.Errorf("ended: %+v", got)
+	}
+	if l.Counters.Links.Load() != 2 || l.Counters.Respawns.Load() != 1 {
+		t.Errorf("%d links, %d runs asked for again", l.Counters.Links.Load(), l.Counters.Respawns.Load())
+	}
+}
+
+// Should notices be lost for good, what may have run and must not run twice
+// fails, and safe work is asked for again.
+func TestNoticesLost(t *testing.T) {
+	l, sink, w := start(t)
+	w.open(1, 0)
+	a, b := request("a", false), request("b", true)
+	for _, x := range []*exchange.Exchange{a, b} {
+		l.Spawn(x)
+		w.expect(spawnLine(x.Txn))
+	}
+	w.c.Close()
+	w.accept(0)
+	w.say(`{"op":"bound","end":"hot","ms":5}`, `{"op":"chatter","seq":4001,"end":""}`)
+	w.expect(`{"op":"poll","tag":"r2"}`)
+	w.say(`{"op":"polled","tag":"r2","values":[]}`)
+	w.expect(spawnLine("b"))
+	w.silent()
+	if got := sink.finished(); len(got) != 1 || got[0].x != a || got[0].end != Error {
+		t.Errorf("ended: %+v", got)
+	}
+}
+
+// Nonsense from the worker pool is harmless.
+func TestBadLines(t *testing.T) {
+	l, sink, w := start(t)
+	w.open(1, 0)
+	a, b := request("a", true), request("b", true)
+	l.Spawn(a)
+	l.Spawn(b)
+	w.expect(spawnLine("a"))
+	w.expect(spawnLine("b"))
+	w.say(`not JSON`, `[]`, `{}`, ``, `{"op":"sing"}`, `{"op":7}`, `{"op":"bound","end":"hot","ms":5}`,
+		`{"op":"finished","seq":1,"id":"nobody","end":"complete","ms":1}`,
+		`{"op":"finished","seq":1,"id":"a","end":"error","ms":1}`, // a number that was read
+		`{"op":"finished","id":"a","end":"error","ms":1}`,
+		`{"op":"finished","seq":2,"id":"a","end":"complete","ms":1,"body":"***"}`, // the result can't be read
+		`{"op":"unknown","end":"spawn","id":"nobody"}`, `{"op":"unknown","end":"suspend","id":"a"}`,
+		`{"op":"unknown","end":"spawn","id":"b"}`,
+		`{"op":"finished","seq":2,"id":"a","end":"complete","ms":-5,"body":"cg=="}`)
+	eventually(t, "ends", func() bool { return len(sink.finished()) == 2 })
+	got := sink.finished()
+	if got[0].x != b || got[0].end != Error { // not carried out: it has no run
+		t.Errorf("b ended: %+v", got[0])
+	}
+	if got[1].x != a || got[1].end != Complete || got[1].body != "r" || got[1].took != 0 {
+		t.Errorf("a ended: %+v", got[1])
+	}
+	if l.Counters.Links.Load() != 1 {
+		t.Errorf("%d links", l.Counters.Links.Load())
+	}
+}
+
+// A link that ends in any way is replaced.
+func TestLinkReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(w *workers)
+		want stream.End
+	}{
+		"closed":             {func(w *workers) { w.c.Close() }, stream.PeerClosed},
+		"reset":              {func(w *workers) { w.c.(*net.TCPConn).SetLinger(0); w.c.Close() }, stream.PeerReset},
+		"a line without end": {func(w *workers) { w.c.Write(make([]byte, longestLine+1)) }, stream.TooLong},
+		"nothing said":       {func(*workers) {}, stream.ReadStalled},
+		"half a line said":   {func(w *workers) { w.c.Write([]byte(`{"op":`)) }, stream.ReadStalled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, _, w := start(t)
+			w.open(1, 0)
+			eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
+			c.do(w)
+			w.open(2, 0)
+			if l.Traffic.Ended[c.want].Load() != 1 {
+				t.Errorf("did not end by %v", c.want)
+			}
+		})
+	}
+}
+
+// The worker pool may be away or come up long after the node.
+func TestPoolAway(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close()
+	l := New(addr, &recorder{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { l.Run(ctx); close(done) }()
+	eventually(t, "tries", func() bool { return l.Counters.Dials.Load() >= 2 })
+	if ln, err = net.Listen("tcp", addr); err != nil {
+		t.Skip("the port was taken meanwhile")
+	}
+	w := &workers{t: t, ln: ln}
+	w.open(1, 0)
+	l.Poll()
+	eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
+	cancel()
+	<-done
+	w.c.Close()
+	ln.Close()
+}
+
+// Any line at all leaves the link's books in order.
+func FuzzLine(f *testing.F) {
+	for _, s := range []string{
+		`{"op":"finished","seq":1,"id":"a","end":"complete","ms":1,"body":"cg=="}`, `{"op":"unknown","end":"spawn","id":"a"}`,
+		`{"op":"polled","tag":"r1","values":[1e308]}`, `{"op":"chatter","seq":9223372036854775807}`, `{`, `{"op":"bound","ms":1e999}`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		sink := &recorder{}
+		l := New("", sink, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		near, far := net.Pipe()
+		go io.Copy(io.Discard, far)
+		c := stream.New(near, &stream.Lines{Longest: longestLine}, stream.Limits{In: inLimit, Out: outLimit, Stall: time.Second}, &l.Traffic, nil)
+		defer func() { c.Close(); far.Close(); <-c.Done() }()
+		l.conn = c
+		l.Spawn(request("a", true))
+		l.line(c, line)
+		var n notice
+		if json.Unmarshal(line, &n) != nil && len(sink.done) > 0 {
+			t.Fatal("a line that can't be read ended a run")
+		}
+		if l.Runs()+len(sink.done) != 1 {
+			t.Fatalf("%d runs, %d ended", l.Runs(), len(sink.done))
+		}
+	})
+}
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -13,9 +13,16 @@
 	"time"
 )
 
-// stallLimit is how long a peer may take nothing before its connection ends. A
-// machine that stands still for seconds must not lose its answers by it.
-const stallLimit = 30 * time.Second
+// StallLimit is how long a peer may usually take nothing before its connection
+// ends. A machine that stands still for seconds must not lose its answers by it.
+const StallLimit = 30 * time.Second
+
+// Limits bound what a connection may hold and wait for.
+type Limits struct {
+	In    int           // bytes of the in ring, more than any message
+	Out   int           // bytes of the out ring
+	Stall time.Duration // how long the peer may take nothing
+}
 
 // Traffic counts connections, bytes and messages; any goroutine may read it.
 type Traffic struct {
@@ -35,6 +42,7 @@
 type Conn struct {
 	net.Conn
 	traffic *Traffic
+	limits  Limits
 	frame   Framer
 	in      *Ring // owned by the reader
 	ready   int   // bytes at its front that are whole messages
@@ -55,10 +63,10 @@
 
 // New wraps a connection and starts its writer. onEnd is called once, when the
 // connection has ended, by the goroutine that ended it; it may be nil.
-func New(c net.Conn, frame Framer, inLimit, outLimit int, t *Traffic, onEnd func(End)) *Conn {
+func New(c net.Conn, frame Framer, l Limits, t *Traffic, onEnd func(End)) *Conn {
 	t.Opened.Add(1)
 	s := &Conn{
-		Conn: c, traffic: t, frame: frame, in: NewRing(inLimit), out: NewRing(outLimit),
+		Conn: c, traffic: t, limits: l, frame: frame, in: NewRing(l.In), out: NewRing(l.Out),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), onEnd: onEnd,
 	}
 	go s.write()
@@ -239,7 +247,7 @@
 		if waiting.IsZero() {
 			waiting = time.Now()
 		}
-		err := c.Conn.SetWriteDeadline(time.Now().Add(stallLimit / 4))
+		err := c.Conn.SetWriteDeadline(time.Now().Add(c.limits.Stall / 4))
 		n := 0
 		if err == nil {
 			n, err = c.Conn.Write(chunk)
@@ -252,7 +260,7 @@
 			continue
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
-			if time.Since(waiting) < stallLimit {
+			if time.Since(waiting) < c.limits.Stall {
 				continue
 			}
 			c.Shut(WriteStalled)
--- /dev/null
+++ b/internal/stream/conn_test.go
@@ -0,0 +1,247 @@
+package stream
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"robinmast/rules"
+)
+
+// pair is a loopback connection: one end wrapped, the other bare.
+func pair(t *testing.T, l Limits, tr *Traffic, onEnd func(End)) (*Conn, *net.TCPConn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := New(raw, &Lines{Longest: 4 << 10}, l, tr, onEnd)
+	t.Cleanup(func() { peer.Close(); c.Close(); <-c.Done() })
+	return c, peer.(*net.TCPConn)
+}
+
+var usual = Limits{In: 8 << 10, Out: 64 << 10, Stall: 10 * time.Second}
+
+func (t *Traffic) balance() error {
+	if q, s, d := t.Queued.Load(), t.Sent.Load(), t.Dropped.Load(); q != s+d {
+		return fmt.Errorf("%d messages queued, %d sent, %d dropped", q, s, d)
+	}
+	if h := t.Held.Load(); h != 0 {
+		return fmt.Errorf("%d bytes still held", h)
+	}
+	return nil
+}
+
+// Only whole messages reach the reader: a parser behind it would keep what is
+// left over, without a bound.
+func TestReadHandsOnWholeMessages(t *testing.T) {
+	c, peer := pair(t, usual, &Traffic{}, nil)
+	go func() {
+		for _, s := range []string{"one\ntw", "o\nthr", "ee", "\n"} {
+			peer.Write([]byte(s))
+			time.Sleep(5 * time.Millisecond)
+		}
+		peer.CloseWrite()
+	}()
+	var all []byte
+	buf := make([]byte, 64)
+	for {
+		n, err := c.Read(buf)
+		if n > 0 && buf[n-1] != '\n' {
+			t.Errorf("read %q, not whole", buf[:n])
+		}
+		all = append(all, buf[:n]...)
+		if err != nil {
+			if EndOf(err, ReadFailed) != PeerClosed {
+				t.Errorf("ended with %v", err)
+			}
+			break
+		}
+	}
+	if string(all) != "one\ntwo\nthree\n" {
+		t.Errorf("read %q", all)
+	}
+}
+
+// A begun message shows as partial until it is whole.
+func TestPartial(t *testing.T) {
+	c, peer := pair(t, usual, &Traffic{}, nil)
+	read := make(chan int)
+	go func() {
+		buf := make([]byte, 64)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				return
+			}
+			read <- n
+		}
+	}()
+	peer.Write([]byte("ab"))
+	for c.Partial(time.Now()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	peer.Write([]byte("c\n"))
+	<-read
+	if p := c.Partial(time.Now()); p != 0 {
+		t.Errorf("partial for %v after the message became whole", p)
+	}
+}
+
+func TestSendArrivesInOrderAndIsCounted(t *testing.T) {
+	var tr Traffic
+	c, peer := pair(t, usual, &tr, nil)
+	var want bytes.Buffer
+	go func() {
+		for i := range 500 {
+			msg := fmt.Appendf(nil, "message %d\n", i)
+			want.Write(msg)
+			if !c.Send(msg) {
+				t.Error("not taken")
+			}
+			if i%50 == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		c.Finish(LeftByUs)
+	}()
+	got, err := io.ReadAll(peer)
+	if err != nil || !bytes.Equal(got, want.Bytes()) {
+		t.Errorf("got %d bytes of %d, %v", len(got), want.Len(), err)
+	}
+	<-c.Done()
+	if err := tr.balance(); err != nil || tr.Sent.Load() != 500 || tr.BytesOut.Load() != int64(want.Len()) {
+		t.Errorf("%v; sent %d", err, tr.Sent.Load())
+	}
+}
+
+// Each way in which a peer can end a connection, or be ended for, gets its name,
+// once, and nothing that was queued is left uncounted.
+func TestEnds(t *testing.T) {
+	small := Limits{In: 8 << 10, Out: 2 << 10, Stall: 200 * time.Millisecond}
+	flood := make([]byte, 1<<10)
+	for name, c := range map[string]struct {
+		limits Limits
+		do     func(c *Conn, peer *net.TCPConn)
+		want   End
+	}{
+		"closes":   {usual, func(_ *Conn, p *net.TCPConn) { p.CloseWrite() }, PeerClosed},
+		"resets":   {usual, func(_ *Conn, p *net.TCPConn) { p.SetLinger(0); p.Close() }, PeerReset},
+		"too long": {usual, func(_ *Conn, p *net.TCPConn) { p.Write(make([]byte, 6<<10)) }, TooLong},
+		"finished": {usual, func(c *Conn, _ *net.TCPConn) { c.Send([]byte("x\n")); c.Finish(IdleClosed) }, IdleClosed},
+		"closed":   {usual, func(c *Conn, _ *net.TCPConn) { c.Close() }, LeftByUs},
+		"overflows": {small, func(c *Conn, _ *net.TCPConn) {
+			for c.Send(flood) {
+			}
+		}, Overflow},
+		"takes nothing": {Limits{In: 8 << 10, Out: 32 << 20, Stall: 200 * time.Millisecond}, func(c *Conn, _ *net.TCPConn) {
+			for range 16 << 10 {
+				c.Send(flood)
+			}
+		}, WriteStalled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tr Traffic
+			ended := make(chan End, 8)
+			conn, peer := pair(t, c.limits, &tr, func(e End) { ended <- e })
+			go func() {
+				buf := make([]byte, 64)
+				for {
+					if _, err := conn.Read(buf); err != nil {
+						if conn.Ended() == StillOpen {
+							conn.Shut(EndOf(err, ReadFailed))
+						}
+						return
+					}
+				}
+			}()
+			c.do(conn, peer)
+			select {
+			case e := <-ended:
+				if e != c.want {
+					t.Errorf("ended as %v, want %v", e, c.want)
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatal("did not end")
+			}
+			conn.Shut(DialFailed) // the first end counts
+			<-conn.Done()
+			if conn.Ended() != c.want || tr.Ended[c.want].Load() != 1 || tr.Ended[DialFailed].Load() != 0 || len(ended) != 0 {
+				t.Errorf("ended again: %v", conn.Ended())
+			}
+			if conn.Send([]byte("late\n")) {
+				t.Error("took a message after its end")
+			}
+			if err := tr.balance(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// All connections together stay within their memory: the one that asks for more
+// ends, the others go on.
+func TestSharedMemoryBound(t *testing.T) {
+	tr := &Traffic{HeldLimit: 256 << 10}
+	limits := Limits{In: 8 << 10, Out: 8 << 20, Stall: 10 * time.Second}
+	slow, _ := pair(t, limits, tr, nil)
+	other, peer := pair(t, limits, tr, nil)
+	chunk := make([]byte, 16<<10)
+	for slow.Send(chunk) {
+	}
+	if slow.Ended() != Overflow {
+		t.Fatalf("ended as %v", slow.Ended())
+	}
+	if !other.Send([]byte("still here\n")) {
+		t.Fatal("the other connection takes nothing")
+	}
+	buf := make([]byte, 11)
+	if _, err := io.ReadFull(peer, buf); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestEndOf(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want End
+	}{
+		{nil, StillOpen}, {io.EOF, PeerClosed}, {fmt.Errorf("x: %w", syscall.ECONNRESET), PeerReset},
+		{syscall.EPIPE, PeerReset}, {io.ErrClosedPipe, PeerReset}, {net.ErrClosed, LeftByUs},
+		{syscall.ECONNREFUSED, DialRefused}, {&Error{End: TooLong}, TooLong}, {errors.New("odd"), WriteFailed},
+	} {
+		if got := EndOf(c.err, WriteFailed); got != c.want {
+			t.Errorf("%v is %v, want %v", c.err, got, c.want)
+		}
+	}
+}
+
+// Every End has a name of its own and an outcome; only an orderly close leaves
+// open what it carried, and only a dial proves that nothing was reached.
+func TestOutcomes(t *testing.T) {
+	names := map[string]bool{}
+	for _, e := range Ends() {
+		if names[e.String()] || e.String() == "unknown" || e.String() == "" {
+			t.Errorf("%d has no name of its own", e)
+		}
+		names[e.String()] = true
+		o := e.Outcome()
+		if (o == rules.OK) != (e == PeerClosed) || o.NeverRan() != (e == DialRefused || e == DialFailed) {
+			t.Errorf("%v has outcome %v", e, o)
+		}
+	}
+}
