--- /dev/null
+++ b/cmd/robinmast/config_test.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const goodSettings = `{"tickMs":2,"groupSize":1,
+ "lanes":[{"name":"read","aimMs":1000,"deadlineMs":4000,"effect":"idempotent","worth":1},
+  {"name":"pay","aimMs":1000,"deadlineMs":4000,"effect":"deduplicated","windowMs":5000,"worth":2}],
+ "parties":[{"name":"acme","share":1,"quotaRps":10}],
+ "extra":{"cpus":2,"ramKb":100000,"runFactor":4,"entryKb":1,"meters":["cpu_busy","runnable"],"passesDeadline":true,
+  "tellsGone":true,"preemption":"drop","say":"weight","keepaliveMaxMs":30000,"upstreams":1,"heededMs":1000,"below":"none"},
+ "bounds":{"retryAfter":true,"maxRetryAfterMs":1000},
+ "obligations":{"fallMultiple":8,"fallMs":1500,"stopSendingWithinMs":200,"answerSlackMs":60}}`
+
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:8080","pool":"127.0.0.1:4400","members":"127.0.0.1:2379",
+ "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":96,"sockets":512},"settings":` + goodSettings + `}`
+
+func none(string) string { return "" }
+
+func TestParse(t *testing.T) {
+	c, err := parse([]byte(goodConfig), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.seed != 0x8c1f30d27a5be964 || c.stop() != 3200*time.Millisecond || c.Limits.MemoryMB != 96 ||
+		c.Limits.Sockets != 512 || c.set.Cores != 2 || c.names.Classes[1] != "pay" || c.names.Tenants[0] != "acme" {
+		t.Errorf("read wrongly: %+v", c)
+	}
+}
+
+func TestParseRejects(t *testing.T) {
+	for name, change := range map[string][2]string{
+		"not JSON":        {`{"name"`, `{name`},
+		"no name":         {`"n3"`, `""`},
+		"no listen":       {`"127.0.0.1:8080"`, `""`},
+		"listen, no port": {`"127.0.0.1:8080"`, `"127.0.0.1"`},
+		"listen, port 0":  {`"127.0.0.1:8080"`, `"127.0.0.1:0"`},
+		"pool by name":    {`"127.0.0.1:4400"`, `"pool.local:4400"`},
+		"no members":      {`"members":"127.0.0.1:2379",`, ``},
+		"odd seed":        {`"8c1f30d27a5be964"`, `"seed"`},
+		"negative memory": {`"memory_mb":96`, `"memory_mb":-1`},
+		"no settings":     {`"settings"`, `"setting"`},
+		"no classes":      {`"lanes"`, `"lane"`},
+		"class, no name":  {`"name":"pay"`, `"name":""`},
+		"class twice":     {`"name":"pay"`, `"name":"read"`},
+		"no deadline":     {`"deadlineMs":4000,"effect":"idempotent"`, `"effect":"idempotent"`},
+		"no cores":        {`"cpus":2`, `"cpus":0`},
+		"no tick":         {`"tickMs":2`, `"tickMs":0`},
+		"calls below":     {`"below":"none"`, `"below":"shared"`},
+		"another tier":    {`"below":"none"`, `"below":"tier"`},
+		"pausing":         {`"preemption":"drop"`, `"preemption":"pause"`},
+		"unknown word":    {`"say":"weight"`, `"say":"shout"`},
+		"cores as a word": {`"cores":1.0`, `"cores":"one"`},
+		"settings a list": {`"settings":{`, `"settings":[],"x":{`},
+	} {
+		text := strings.Replace(goodConfig, change[0], change[1], 1)
+		if text == goodConfig {
+			t.Fatalf("%s: nothing changed", name)
+		}
+		c, err := parse([]byte(text), none)
+		if err == nil {
+			t.Errorf("%s: taken: %+v", name, c)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: more than a line: %q", name, err)
+		}
+	}
+}
+
+func TestLoad(t *testing.T) {
+	if _, err := load(none); err == nil {
+		t.Error("no EDGE_CONFIG: taken")
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	env := func(k string) string { return map[string]string{"EDGE_CONFIG": path}[k] }
+	if _, err := load(env); err == nil {
+		t.Error("no file: taken")
+	}
+	if err := os.WriteFile(path, []byte(goodConfig), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := load(env); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/cmd/robinmast/serve_test.go
@@ -0,0 +1,445 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+)
+
+// workers stands in for the worker pool, from the published protocol. It runs a
+// request for as many milliseconds as its body says, keeps all notices, and
+// can drop its link at any time.
+type workers struct {
+	t  *testing.T
+	ln net.Listener
+
+	mu      sync.Mutex
+	link    net.Conn
+	notices []string
+	runs    map[string]*time.Timer
+	started map[string]int
+	deaf    bool // notices are kept and not sent
+}
+
+func newWorkers(t *testing.T) *workers {
+	w := &workers{t: t, ln: listen(t), runs: map[string]*time.Timer{}, started: map[string]int{}}
+	go func() {
+		for {
+			c, err := w.ln.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(c)
+		}
+	}()
+	return w
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func (w *workers) serve(c net.Conn) {
+	defer c.Close()
+	lines := bufio.NewScanner(c)
+	for lines.Scan() {
+		var m struct {
+			Op, ID, Class, Tag string
+			Seq                int
+			Body               []byte
+		}
+		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
+			w.t.Errorf("worker pool got %q", lines.Text())
+			return
+		}
+		w.mu.Lock()
+		switch m.Op {
+		case "bind":
+			w.link = c
+			fmt.Fprintln(c, `{"op":"bound","end":"hot","ms":3600000}`)
+			for _, n := range w.notices[m.Seq:] {
+				fmt.Fprintln(c, n)
+			}
+		case "spawn":
+			if w.runs[m.ID] == nil {
+				w.started[m.ID]++
+				var ms int
+				fmt.Sscan(string(m.Body), &ms)
+				body, _ := json.Marshal([]byte("did " + string(m.Body)))
+				w.runs[m.ID] = time.AfterFunc(time.Duration(ms)*time.Millisecond, func() {
+					w.finish(m.ID, fmt.Sprintf(`"complete","ms":%d,"body":%s`, ms, body))
+				})
+			}
+		case "suspend":
+			if r := w.runs[m.ID]; r != nil && r.Stop() {
+				go w.finish(m.ID, `"cancelled","ms":1`)
+			}
+		case "poll":
+			fmt.Fprintf(c, `{"op":"polled","tag":%q,"values":[0.1,1]}`+"\n", m.Tag)
+		}
+		w.mu.Unlock()
+	}
+}
+
+func (w *workers) finish(id, end string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.runs, id)
+	n := fmt.Sprintf(`{"op":"finished","seq":%d,"id":%q,"end":%s}`, len(w.notices)+1, id, end)
+	w.notices = append(w.notices, n)
+	if !w.deaf && w.link != nil {
+		fmt.Fprintln(w.link, n)
+	}
+}
+
+// cut breaks the link off.
+func (w *workers) cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.link != nil {
+		w.link.(*net.TCPConn).SetLinger(0)
+		w.link.Close()
+		w.link = nil
+	}
+}
+
+// system is a node under test with all it talks to.
+type system struct {
+	t       *testing.T
+	addr    string
+	workers *workers
+	signals chan os.Signal
+	done    chan error
+	log     *logBuffer
+	reports atomic.Int64
+	out     atomic.Bool
+	stopped bool
+}
+
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// line is the last log line with this message.
+func (l *logBuffer) line(msg string) map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found map[string]any
+	for _, text := range strings.Split(l.b.String(), "\n") {
+		var m map[string]any
+		if json.Unmarshal([]byte(text), &m) == nil && m["msg"] == msg {
+			found = m
+		}
+	}
+	return found
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, workers: newWorkers(t), signals: make(chan os.Signal, 4), done: make(chan error, 1), log: &logBuffer{}}
+	members := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		s.out.Store(bytes.Contains(body, []byte("OUT")))
+		s.reports.Add(1)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(members.Close)
+	ln := listen(t)
+	s.addr = ln.Addr().String()
+	text := strings.NewReplacer("127.0.0.1:8080", s.addr, "127.0.0.1:4400", s.workers.ln.Addr().String(),
+		"127.0.0.1:2379", strings.TrimPrefix(members.URL, "http://"), `"stop_ms":3200`, `"stop_ms":1500`, `"cpus":2`, `"cpus":64`).Replace(goodConfig)
+	cfg, err := parse([]byte(text), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.NewJSONHandler(s.log, nil))
+	go func() { s.done <- serve(cfg, ln, s.signals, log) }()
+	t.Cleanup(func() {
+		if !s.stopped {
+			s.stop()
+		}
+	})
+	d := s.dial()
+	for end := time.Now().Add(5 * time.Second); s.log.line("worker pool bound") == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the worker pool was not bound")
+		}
+	}
+	d.say("RPC.HEALTH", "1", "")
+	if got := d.hear(); !strings.HasPrefix(got, "1 GREEN") {
+		t.Fatalf("%q", got)
+	}
+	d.Close()
+	return s
+}
+
+// stop sends the notice, waits for the exit and checks that the books balance.
+func (s *system) stop() map[string]any {
+	s.t.Helper()
+	s.stopped = true
+	began := time.Now()
+	s.signals <- syscall.SIGTERM
+	select {
+	case err := <-s.done:
+		if err != nil {
+			s.t.Fatal(err)
+		}
+	case <-time.After(10 * time.Second):
+		s.t.Fatal("did not stop")
+	}
+	if d := time.Since(began); d > 1500*time.Millisecond {
+		s.t.Errorf("stopped after %v", d)
+	}
+	c := s.log.line("node stopped")
+	group := func(m map[string]any, k string) map[string]any { g, _ := m[k].(map[string]any); return g }
+	n := func(m map[string]any, keys ...string) (sum float64) {
+		for _, k := range keys {
+			v, _ := m[k].(float64)
+			sum += v
+		}
+		return sum
+	}
+	r, d, p := group(c, "requests"), group(c, "dispatchers"), group(c, "pool")
+	if n(r, "read") != n(r, "served", "refused", "failed", "cancelled", "gone") || n(r, "in_hand") != 0 || n(r, "read") != n(d, "calls") {
+		s.t.Errorf("requests don't add up: %v, %v", r, d)
+	}
+	if n(p, "spawned") != n(p, "complete", "error", "cancelled", "moot", "running") {
+		s.t.Errorf("runs don't add up: %v", p)
+	}
+	for _, side := range []map[string]any{d, p} {
+		l := group(side, "link")
+		ends := 0.0
+		for k := range l {
+			if strings.HasPrefix(k, "end_") {
+				ends += n(l, k)
+			}
+		}
+		if n(l, "opened") != ends || n(l, "queued") != n(l, "sent", "dropped") {
+			s.t.Errorf("a side's links don't add up: %v", l)
+		}
+	}
+	if x := n(group(c, "process"), "module_resets"); x != 0 {
+		s.t.Errorf("the module failed %v times", x)
+	}
+	return c
+}
+
+type dispatcher struct {
+	t *testing.T
+	*net.TCPConn
+	rd *bufio.Reader
+}
+
+func (s *system) dial() *dispatcher {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	return &dispatcher{t: s.t, TCPConn: c.(*net.TCPConn), rd: bufio.NewReader(c)}
+}
+
+func (d *dispatcher) say(parts ...string) {
+	b := redcon.AppendArray(nil, len(parts))
+	for _, p := range parts {
+		b = redcon.AppendBulkString(b, p)
+	}
+	if _, err := d.Write(b); err != nil {
+		d.t.Error(err)
+	}
+}
+
+// hear reads one answer; "EOF" if the connection ended.
+func (d *dispatcher) hear() string {
+	_ = d.SetReadDeadline(time.Now().Add(5 * time.Second))
+	var n int
+	if _, err := fmt.Fscanf(d.rd, "*%d\r\n", &n); err != nil {
+		return "EOF"
+	}
+	parts := make([]string, n)
+	for i := range parts {
+		var size int
+		if _, err := fmt.Fscanf(d.rd, "$%d\r\n", &size); err != nil {
+			return "EOF"
+		}
+		body := make([]byte, size+2)
+		if _, err := io.ReadFull(d.rd, body); err != nil {
+			return "EOF"
+		}
+		parts[i] = string(body[:size])
+	}
+	return strings.Join(parts, " ")
+}
+
+var txns atomic.Int64
+
+// call sends a request that runs for some milliseconds and returns its txn.
+func (d *dispatcher) call(tag, ms int, more string) string {
+	txn := fmt.Sprintf("%016x", txns.Add(1))
+	class := "read"
+	if strings.Contains(more, "unique=") {
+		class = "pay"
+	}
+	d.say("RPC.CALL", fmt.Sprint(tag), class, fmt.Sprintf("txn=%s,door=%d,lb=1,team=acme,limit=4000,cpu=5,ram=10,standing=0.5%s",
+		txn, time.Now().UnixMilli(), more), fmt.Sprint(ms))
+	return txn
+}
+
+// Requests of many connections, answered once each, with cancels and broken
+// connections between them; then the books must balance.
+func TestServe(t *testing.T) {
+	s := newSystem(t)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			d := s.dial()
+			if i == 7 { // breaks off with everything open
+				d.call(1, 500, "")
+				d.call(2, 500, "")
+				time.Sleep(20 * time.Millisecond)
+				d.SetLinger(0)
+				d.Close()
+				return
+			}
+			open := map[string]bool{}
+			for tag := 1; tag <= 20; tag++ {
+				d.call(tag, 1+tag%5, "")
+				open[fmt.Sprint(tag)] = true
+				if tag%7 == 0 {
+					d.say("RPC.CANCEL", fmt.Sprint(tag))
+				}
+			}
+			seen := map[string]bool{}
+			d.say("RPC.HEALTH", "99", "")
+			for missing := 18; missing > 0; { // two were cancelled and may be answered or not
+				tag, word, _ := strings.Cut(d.hear(), " ")
+				switch {
+				case tag == "99":
+					continue
+				case !open[tag] || seen[tag]:
+					t.Errorf("answer %q for tag %q", word, tag)
+					return
+				}
+				seen[tag] = true
+				if tag != "7" && tag != "14" {
+					missing--
+				}
+			}
+		})
+	}
+	wg.Wait()
+	s.signals <- syscall.SIGUSR1
+	for end := time.Now().Add(3 * time.Second); s.log.line("counters") == nil; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("no counters on the signal")
+		}
+	}
+	c := s.stop()
+	r := c["requests"].(map[string]any)
+	if r["read"].(float64) != 7*20+2 || r["served"].(float64) == 0 || r["gone"].(float64) != 2 {
+		t.Errorf("requests: %v", r)
+	}
+	if s.reports.Load() == 0 || !s.out.Load() {
+		t.Errorf("%d reports, the last one out: %v", s.reports.Load(), s.out.Load())
+	}
+}
+
+// The link to the worker pool breaks again and again while it works; no result
+// is lost and nothing runs twice.
+func TestServeOverBrokenLinks(t *testing.T) {
+	s := newSystem(t)
+	d := s.dial()
+	var all []string
+	for round := range 5 {
+		for i := range 6 {
+			all = append(all, d.call(round*6+i+1, 30, fmt.Sprintf(",unique=k%d-%d", round, i)))
+		}
+		time.Sleep(15 * time.Millisecond)
+		s.workers.mu.Lock()
+		s.workers.deaf = true // what ends now is in the replay only
+		s.workers.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+		s.workers.cut()
+		s.workers.mu.Lock()
+		s.workers.deaf = false
+		s.workers.mu.Unlock()
+		time.Sleep(30 * time.Millisecond)
+	}
+	for range all {
+		if got := d.hear(); !strings.Contains(got, " ACK ") || !strings.HasSuffix(got, "did 30") {
+			t.Errorf("%q", got)
+		}
+	}
+	s.workers.mu.Lock()
+	for _, txn := range all {
+		if n := s.workers.started[txn]; n != 1 {
+			t.Errorf("%s ran %d times", txn, n)
+		}
+	}
+	s.workers.mu.Unlock()
+	c := s.stop()
+	if links := c["pool"].(map[string]any)["links"].(float64); links < 3 {
+		t.Errorf("%v links", links)
+	}
+}
+
+// The notice comes while requests run: they are answered, what comes within the
+// grace still runs, then connections are told to close and new ones are refused.
+func TestServeDrain(t *testing.T) {
+	s := newSystem(t)
+	d := s.dial()
+	d.call(1, 300, "")
+	time.Sleep(20 * time.Millisecond)
+	ended := make(chan map[string]any, 1)
+	go func() { ended <- s.stop() }()
+	for end := time.Now().Add(2 * time.Second); s.log.line("notice to leave") == nil && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	d.call(2, 10, "")
+	if got := d.hear(); !strings.HasPrefix(got, "2 ACK") {
+		t.Errorf("within the grace: %q", got)
+	}
+	if got := d.hear(); got != "0 FIN" {
+		t.Errorf("at its end: %q", got)
+	}
+	if c, err := net.Dial("tcp", s.addr); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+	if got := d.hear(); !strings.HasPrefix(got, "1 ACK") {
+		t.Errorf("what ran: %q", got)
+	}
+	if got := d.hear(); got != "EOF" {
+		t.Errorf("at the exit: %q", got)
+	}
+	<-ended
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,462 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/pool"
+	"robinmast/rules"
+)
+
+// side stands in for both sides of the loop and for the dispatchers.
+type side struct {
+	spawned, suspended []string
+	polls              int
+	answers            map[uint64][]exchange.Answer
+	good               bool
+	said               float64
+}
+
+func (s *side) Spawn(x *exchange.Exchange)   { s.spawned = append(s.spawned, x.Txn) }
+func (s *side) Suspend(x *exchange.Exchange) { s.suspended = append(s.suspended, x.Txn) }
+func (s *side) Poll()                        { s.polls++ }
+func (s *side) SetHealth(good bool)          { s.good = good }
+func (s *side) Say(v float64)                { s.said = v }
+func (s *side) CloseIdle(time.Duration)      {}
+func (s *side) Reply(tag uint64, a exchange.Answer) {
+	s.answers[tag] = append(s.answers[tag], a)
+}
+
+// rig is a node whose loop the test turns by hand.
+type rig struct {
+	*Node
+	*side
+	t      *testing.T
+	ledger exchange.Ledger
+	tag    uint64
+}
+
+func usual() rules.Settings {
+	class := rules.Class{Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Window: 300 * time.Millisecond}
+	safe, once := class, class
+	once.Effect = rules.Keyed
+	return rules.Settings{
+		Tick: 2 * time.Millisecond, Cores: 2, Nodes: 1, Callers: 1, Classes: []rules.Class{safe, once},
+		MemoryKB: 1e6, RunFactor: 4, EntryKB: 1, Preemption: rules.PreemptDrop, FallMultiple: 8,
+		FallWindow: time.Second, DrainGrace: 100 * time.Millisecond, PassesPatience: true, TellsGone: true,
+		Gauges: []string{"cpu_busy", "runnable"}, HonoursRetry: true, MaxRetryAfter: time.Second,
+	}
+}
+
+func newRig(t *testing.T, set rules.Settings, bindNow bool) *rig {
+	t.Helper()
+	r := &rig{t: t, side: &side{answers: map[uint64][]exchange.Answer{}}}
+	r.Node = New(Config{Settings: set, KeyBytes: 1 << 10, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	r.Attach(r.side, r.side)
+	r.tick()
+	if err := r.build(r.now, false); err != nil {
+		t.Fatal(err)
+	}
+	if bindNow {
+		r.Bound(false, time.Hour)
+	}
+	r.turn()
+	return r
+}
+
+// turn lets the loop take what waits, and what it made of that.
+func (r *rig) turn() {
+	r.batch()
+	for len(r.late) > 0 {
+		r.batch()
+	}
+}
+
+func unixMs() float64 { return float64(time.Now().UnixMicro()) / 1000 }
+
+// send makes a request arrive and turns the loop.
+func (r *rig) send(class int, more func(*exchange.Call)) *exchange.Exchange {
+	r.tag++
+	c := exchange.Call{
+		Txn: fmt.Sprintf("%016x", r.tag), Class: class, ClassName: fmt.Sprint("c", class), Safe: class == 0,
+		Door: unixMs(), Limit: 5000, KB: 10,
+	}
+	if more != nil {
+		more(&c)
+	}
+	x := exchange.New(&r.ledger, r.side, r.tag, c)
+	r.Arrived(x)
+	r.turn()
+	return x
+}
+
+func (r *rig) end(x *exchange.Exchange, e pool.End, body string) {
+	r.Finished(x, e, time.Millisecond, []byte(body))
+	r.turn()
+}
+
+// only checks that a request has just this one answer.
+func (r *rig) only(x *exchange.Exchange, kind exchange.Kind, body string) {
+	r.t.Helper()
+	if a := r.answers[x.Tag]; len(a) != 1 || a[0].Kind != kind || string(a[0].Body) != body {
+		r.t.Errorf("request %d: answers %+v, want one of kind %v with %q", x.Tag, a, kind, body)
+	}
+}
+
+func (r *rig) none(x *exchange.Exchange) {
+	r.t.Helper()
+	if a := r.answers[x.Tag]; len(a) != 0 {
+		r.t.Errorf("request %d was answered: %+v", x.Tag, a)
+	}
+}
+
+// empty checks that nothing is left of any request.
+func (r *rig) empty() {
+	r.t.Helper()
+	if len(r.items) != 0 || len(r.byX) != 0 || len(r.byTxn) != 0 || r.ledger.InHand() != 0 {
+		r.t.Errorf("left over: %d items, %d requests in hand", len(r.items), r.ledger.InHand())
+	}
+}
+
+func key(k string) func(*exchange.Call)   { return func(c *exchange.Call) { c.Unique = k } }
+func about(k string) func(*exchange.Call) { return func(c *exchange.Call) { c.Item = k } }
+
+// Every way in which a run can end is answered once, and nothing stays behind.
+func TestRunEnds(t *testing.T) {
+	r := newRig(t, usual(), true)
+	a, b, c := r.send(0, nil), r.send(0, nil), r.send(1, key("k"))
+	if len(r.spawned) != 2 { // two cores to start with
+		t.Fatalf("spawned %v", r.spawned)
+	}
+	r.end(a, pool.Complete, "result")
+	r.only(a, exchange.Served, "result")
+	r.end(a, pool.Complete, "again") // harmless
+	r.end(b, pool.Error, "")
+	r.only(b, exchange.Failed, "")
+	r.end(c, pool.Moot, "") // odd, as it was not over: it is answered all the same
+	r.only(a, exchange.Served, "result")
+	r.only(c, exchange.Failed, "")
+	r.empty()
+}
+
+// A stopped run without an answer is the module's again: safe work runs anew.
+func TestStoppedRunIsHeldAgain(t *testing.T) {
+	r := newRig(t, usual(), true)
+	a := r.send(0, nil)
+	r.end(a, pool.Cancelled, "")
+	r.none(a)
+	if len(r.spawned) != 2 || r.spawned[0] != r.spawned[1] {
+		t.Fatalf("spawned %v", r.spawned)
+	}
+	r.end(a, pool.Complete, "r")
+	r.only(a, exchange.Served, "r")
+	r.empty()
+}
+
+// A caller that leaves gets no answer; its safe run is stopped, and whichever
+// way the run then ends, nothing stays behind.
+func TestGone(t *testing.T) {
+	for _, end := range []pool.End{pool.Complete, pool.Error, pool.Cancelled, pool.Moot} {
+		r := newRig(t, usual(), true)
+		held := []*exchange.Exchange{r.send(0, nil), r.send(0, nil), r.send(0, nil)}
+		for _, x := range held {
+			x.Abandon(exchange.WasGone)
+			r.Gone(x)
+		}
+		r.turn()
+		if len(r.spawned) != 2 || len(r.suspended) != 2 {
+			t.Fatalf("spawned %v, stopped %v", r.spawned, r.suspended)
+		}
+		for _, x := range held {
+			r.end(x, end, "late")
+			r.none(x)
+		}
+		r.empty()
+	}
+}
+
+// A cancel may come before the loop has even taken the request up.
+func TestGoneBeforeArrival(t *testing.T) {
+	r := newRig(t, usual(), true)
+	x := exchange.New(&r.ledger, r.side, 1, exchange.Call{Txn: "x", Door: unixMs(), KB: 1, Safe: true})
+	r.Arrived(x)
+	x.Abandon(exchange.WasCancelled)
+	r.Gone(x)
+	r.turn()
+	if len(r.spawned) != 0 {
+		t.Error("it was run")
+	}
+	r.empty()
+}
+
+// What the worker pool never answers still gets its answer before it is due,
+// and the run's own end, much later, gives no second one.
+func TestSilentPool(t *testing.T) {
+	r := newRig(t, usual(), true)
+	began := time.Now()
+	x := r.send(1, func(c *exchange.Call) { c.Unique, c.Limit = "k", 300 })
+	for len(r.answers[x.Tag]) == 0 && time.Since(began) < 2*time.Second {
+		time.Sleep(2 * time.Millisecond)
+		r.turn()
+	}
+	if d := time.Since(began); d > 300*time.Millisecond {
+		t.Errorf("answered after %v, due after 300 ms", d)
+	}
+	r.only(x, exchange.Failed, "")
+	r.end(x, pool.Complete, "late")
+	r.only(x, exchange.Failed, "")
+	if r.ledger.Late.Load() != 1 {
+		t.Errorf("%d late answers", r.ledger.Late.Load())
+	}
+	r.empty()
+}
+
+// A keyed request runs once in its window, however often and whenever it comes.
+func TestKeyed(t *testing.T) {
+	r := newRig(t, usual(), true)
+	first := r.send(1, key("k"))
+	during := r.send(1, key("k"))
+	other := r.send(1, key("other"))
+	r.none(during)
+	r.end(first, pool.Complete, "result")
+	after := r.send(1, key("k"))
+	for _, x := range []*exchange.Exchange{first, during, after} {
+		r.only(x, exchange.Served, "result")
+	}
+	r.end(other, pool.Error, "")
+	again := r.send(1, key("other"))
+	r.only(again, exchange.Failed, "") // it ran: neither refused nor run again
+	if len(r.spawned) != 2 {
+		t.Fatalf("%d runs of two keys", len(r.spawned))
+	}
+	// A repeat that came within the window and is read after it still counts.
+	time.Sleep(320 * time.Millisecond)
+	late := r.send(1, func(c *exchange.Call) { c.Unique, c.Door = "k", c.Door-200 })
+	r.only(late, exchange.Served, "result")
+	r.empty()
+	time.Sleep(320 * time.Millisecond)
+	fresh := r.send(1, key("k"))
+	if len(r.spawned) != 3 {
+		t.Error("not run after its window")
+	}
+	r.end(fresh, pool.Complete, "new")
+	r.only(fresh, exchange.Served, "new")
+	r.empty()
+}
+
+// A caller that leaves does not end keyed work; its repeats get the result.
+func TestKeyedOutlivesItsCaller(t *testing.T) {
+	r := newRig(t, usual(), true)
+	first := r.send(1, key("k"))
+	first.Abandon(exchange.WasGone)
+	r.Gone(first)
+	second := r.send(1, key("k"))
+	second.Abandon(exchange.WasCancelled)
+	r.Gone(second)
+	third := r.send(1, key("k"))
+	r.end(first, pool.Complete, "result")
+	r.none(first)
+	r.none(second)
+	r.only(third, exchange.Served, "result")
+	if len(r.spawned) != 1 || len(r.suspended) != 0 {
+		t.Errorf("spawned %v, stopped %v", r.spawned, r.suspended)
+	}
+	r.empty()
+}
+
+// Work that was turned away before it ran leaves its key free.
+func TestKeyedRefusedMayRun(t *testing.T) {
+	r := newRig(t, usual(), true)
+	first := r.send(1, func(c *exchange.Call) { c.Unique, c.Limit = "k", 1 }) // too late when it comes
+	r.only(first, exchange.Refused, "")
+	second := r.send(1, key("k"))
+	if len(r.spawned) != 1 {
+		t.Fatalf("spawned %v", r.spawned)
+	}
+	r.end(second, pool.Complete, "r")
+	r.only(second, exchange.Served, "r")
+	r.empty()
+}
+
+// Kept results have a bound of their own. A repeat whose result had to go
+// fails: the work ran.
+func TestKeptResultsAreBounded(t *testing.T) {
+	r := newRig(t, usual(), true)
+	big := string(make([]byte, 700))
+	for _, k := range []string{"a", "b"} {
+		r.end(r.send(1, key(k)), pool.Complete, big)
+	}
+	if r.table.bytes > 1<<10 {
+		t.Errorf("%d bytes kept", r.table.bytes)
+	}
+	r.only(r.send(1, key("a")), exchange.Failed, "")
+	r.only(r.send(1, key("b")), exchange.Served, big)
+	if len(r.spawned) != 2 {
+		t.Errorf("spawned %v", r.spawned)
+	}
+	time.Sleep(320 * time.Millisecond)
+	r.tick()
+	r.table.swept = 0
+	r.table.expire(r.now + lateRead)
+	if len(r.table.byKey) != 0 || r.table.bytes != 0 || len(r.table.results) != 0 {
+		t.Errorf("%d entries and %d bytes left", len(r.table.byKey), r.table.bytes)
+	}
+}
+
+// Reads of one item share a run, and its answer while it is fresh; a failure is
+// not shared once it is known.
+func TestFreshReads(t *testing.T) {
+	set := usual()
+	set.Fresh = 100 * time.Millisecond
+	r := newRig(t, set, true)
+	a, b := r.send(0, about("i")), r.send(0, about("i"))
+	none, other := r.send(0, nil), r.send(0, about("j"))
+	r.end(a, pool.Complete, "r")
+	c := r.send(0, about("i"))
+	for _, x := range []*exchange.Exchange{a, b, c} {
+		r.only(x, exchange.Served, "r")
+	}
+	r.end(none, pool.Complete, "n")
+	r.end(other, pool.Error, "")
+	d := r.send(0, about("j"))
+	if len(r.spawned) != 4 {
+		t.Errorf("spawned %v", r.spawned)
+	}
+	r.end(d, pool.Complete, "ok now")
+	r.only(d, exchange.Served, "ok now")
+	time.Sleep(120 * time.Millisecond)
+	e := r.send(0, about("i"))
+	if len(r.spawned) != 5 {
+		t.Error("a stale answer was shared")
+	}
+	r.end(e, pool.Complete, "r2")
+	r.only(e, exchange.Served, "r2")
+	r.empty()
+}
+
+// Nothing runs before the worker pool is up; then the module begins with its
+// age, and what came too early is read again.
+func TestBoundLate(t *testing.T) {
+	set := usual()
+	set.Cold, set.ColdFrom, set.Ramp = false, 0.2, 10*time.Second
+	r := newRig(t, set, false)
+	early, left := r.send(0, nil), r.send(0, nil)
+	left.Abandon(exchange.WasCancelled)
+	r.Gone(left)
+	r.turn()
+	if len(r.spawned) != 0 || len(r.suspended) != 0 {
+		t.Fatalf("said to a worker pool that is not up: %v %v", r.spawned, r.suspended)
+	}
+	r.Bound(true, 4*time.Second)
+	r.turn()
+	if !r.cfg.Settings.Cold || r.now-r.born < 4*time.Second || r.now-r.born > 5*time.Second {
+		t.Errorf("cold %v since %v", r.cfg.Settings.Cold, r.now-r.born)
+	}
+	if len(r.spawned) != 1 || r.spawned[0] != early.Txn {
+		t.Errorf("spawned %v", r.spawned)
+	}
+	r.Bound(false, time.Hour) // a new link is no new worker pool
+	r.turn()
+	if !r.cfg.Settings.Cold {
+		t.Error("a new link changed what is known")
+	}
+	r.end(early, pool.Complete, "r")
+	r.only(early, exchange.Served, "r")
+	r.empty()
+}
+
+// After the notice nothing runs that came past the grace; it is refused at once.
+func TestDrain(t *testing.T) {
+	r := newRig(t, usual(), true)
+	before := r.send(0, nil)
+	r.Drain(time.Second)
+	r.turn()
+	time.Sleep(120 * time.Millisecond)
+	past := r.send(0, nil)
+	r.only(past, exchange.Refused, "")
+	if a := r.answers[past.Tag]; len(a) == 1 && a[0].RetryAfter != time.Second {
+		t.Errorf("advice %v", a[0].RetryAfter)
+	}
+	r.end(before, pool.Complete, "r")
+	r.only(before, exchange.Served, "r")
+	r.empty()
+}
+
+// A request in hand under the same name can't be told apart by the worker pool.
+func TestSameTxn(t *testing.T) {
+	r := newRig(t, usual(), true)
+	a := r.send(0, nil)
+	b := r.send(0, func(c *exchange.Call) { c.Txn = a.Txn })
+	r.only(b, exchange.Failed, "")
+	r.none(a)
+	r.end(a, pool.Complete, "r")
+	r.only(a, exchange.Served, "r")
+	r.empty()
+}
+
+// Should the module's code fail, all that was read is answered and the node
+// goes on with a new module; runs that go on end without a trace.
+func TestModuleFails(t *testing.T) {
+	r := newRig(t, usual(), true)
+	running, held := r.send(0, nil), []*exchange.Exchange{}
+	for range 3 {
+		held = append(held, r.send(0, nil))
+	}
+	r.guard(func() { panic("defect") })
+	for _, x := range append(held, running) {
+		r.only(x, exchange.Failed, "")
+	}
+	after := r.send(0, nil)
+	r.end(running, pool.Complete, "late")
+	r.end(held[0], pool.Complete, "late")
+	r.only(running, exchange.Failed, "")
+	r.end(after, pool.Complete, "r")
+	r.only(after, exchange.Served, "r")
+	if r.Resets.Load() != 1 {
+		t.Errorf("%d resets", r.Resets.Load())
+	}
+	r.empty()
+}
+
+// The module's timer brings the gauges, which are asked for a little earlier.
+func TestGauges(t *testing.T) {
+	r := newRig(t, usual(), true)
+	r.Polled([]float64{0.5, 3})
+	for end := time.Now().Add(2 * time.Second); r.polls < 3; {
+		if time.Now().After(end) {
+			t.Fatal("gauges not asked for")
+		}
+		time.Sleep(r.untilTimer())
+		r.turn()
+	}
+	if len(r.timers) != 1 {
+		t.Errorf("%d timers", len(r.timers))
+	}
+}
+
+// The clocks of two programs may say anything; the module gets sane times.
+func TestRequestTimes(t *testing.T) {
+	const now = 1764576000500.0
+	for _, c := range []struct {
+		door, limit   float64
+		age, patience time.Duration
+	}{
+		{now - 100, 480, 100 * time.Millisecond, 380 * time.Millisecond},
+		{now - 100, 0, 100 * time.Millisecond, 0}, // not told
+		{now - 500, 480, 500 * time.Millisecond, time.Microsecond},
+		{now + 300, 480, 0, 480 * time.Millisecond}, // from the future
+		{0, 480, longest, time.Microsecond},
+		{now, 1e300, 0, longest},
+		{1e18, 1e-9, 0, time.Microsecond},
+	} {
+		x := exchange.New(&exchange.Ledger{}, nil, 1, exchange.Call{Door: c.door, Limit: c.limit, HintMs: 12.5})
+		q := request(x, 1, now)
+		if q.Age != c.age || q.Patience != c.patience || q.Hint != 12500*time.Microsecond {
+			t.Errorf("door %v, limit %v: age %v, patience %v", c.door, c.limit, q.Age, q.Patience)
+		}
+	}
+}
