--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -378,11 +378,12 @@
 // A connection that ends, in whatever way, lets go of what is open on it, at
 // every point of a request's life, and of nothing else.
 func TestEndsLetGo(t *testing.T) {
-	flood := func(d *dispatcher) { // takes no answers and asks for ever more
-		for i := 0; ; i++ {
-			_ = d.SetWriteDeadline(time.Now().Add(200 * time.Millisecond))
-			if _, err := d.Write(words("RPC.HEALTH", fmt.Sprint(100+i), "")); err != nil {
-				return
+	var b *bench
+	flood := func(d *dispatcher) { // it reads nothing, and ever more is sent to it
+		for _, c := range b.all() {
+			if c.RemoteAddr().String() == d.LocalAddr().String() {
+				for c.Send(make([]byte, 2<<10)) {
+				}
 			}
 		}
 	}
@@ -398,7 +399,7 @@
 		"takes nothing":  {flood, stream.Overflow},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := start(t, func(s *Server) {
+			b = start(t, func(s *Server) {
 				s.partialSoft, s.partialMax = 50*time.Millisecond, 100*time.Millisecond
 				s.limits.Out = 4 << 10
 			})
