--- a/cmd/robinmast/config_test.go
+++ b/cmd/robinmast/config_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"os"
 	"path/filepath"
 	"strings"
@@ -8,17 +9,10 @@
 	"time"
 )
 
-const goodSettings = `{"tickMs":2,"groupSize":1,
- "lanes":[{"name":"read","aimMs":1000,"deadlineMs":4000,"effect":"idempotent","worth":1},
-  {"name":"pay","aimMs":1000,"deadlineMs":4000,"effect":"deduplicated","windowMs":5000,"worth":2}],
- "parties":[{"name":"acme","share":1,"quotaRps":10}],
- "extra":{"cpus":2,"ramKb":100000,"runFactor":4,"entryKb":1,"meters":["cpu_busy","runnable"],"passesDeadline":true,
-  "tellsGone":true,"preemption":"drop","say":"weight","keepaliveMaxMs":30000,"upstreams":1,"heededMs":1000,"below":"none"},
- "bounds":{"retryAfter":true,"maxRetryAfterMs":1000},
- "obligations":{"fallMultiple":8,"fallMs":1500,"stopSendingWithinMs":200,"answerSlackMs":60}}`
-
-const goodConfig = `{"name":"n3","listen":"127.0.0.1:8080","pool":"127.0.0.1:4400","members":"127.0.0.1:2379",
- "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":96,"sockets":512},"settings":` + goodSettings + `}`
+// goodConfig is the example that README points to.
+//
+//go:embed testdata/config.json
+var goodConfig string
 
 func none(string) string { return "" }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -203,13 +203,16 @@
 }
 
 // complain logs bad input at a bounded rate.
-func (s *Server) complain(what string, err error) {
+func (s *Server) complain(what string, err error, more ...any) {
 	now, last := time.Now().UnixNano(), s.complained.Load()
 	if now-last < int64(complainGap) || !s.complained.CompareAndSwap(last, now) {
 		s.muted.Add(1)
 		return
 	}
-	s.cfg.Log.Warn(what, "err", err, "muted", s.muted.Swap(0))
+	if err != nil {
+		more = append(more, "err", err)
+	}
+	s.cfg.Log.Warn(what, append(more, "muted", s.muted.Swap(0))...)
 }
 
 // client is one dispatcher's connection.
@@ -299,8 +302,8 @@
 	case c.s.room <- struct{}{}:
 	default:
 	}
-	if len(open) > 0 {
-		c.s.cfg.Log.Debug("connection ended with requests open", "end", end.String(), "open", len(open))
+	if len(open) > 0 || end == stream.Overflow || end == stream.ReadStalled || end == stream.WriteStalled {
+		c.s.complain("dispatcher's connection ended badly", nil, "end", end.String(), "open", len(open))
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,12 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"os"
+	"runtime"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -533,6 +537,82 @@
 	b.sink.arrived[1].Answer(exchange.Answer{Kind: exchange.Failed})
 }
 
+// starved is a listener that has no descriptor at first.
+type starved struct {
+	net.Listener
+	left int
+}
+
+func (l *starved) Accept() (net.Conn, error) {
+	if l.left > 0 {
+		l.left--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Without a descriptor the node waits a moment before it accepts again: redcon
+// would try at once and take the whole core, and to give up would end the node.
+func TestNoDescriptors(t *testing.T) {
+	b := start(t, nil)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l := &listener{Listener: &starved{ln, 3}, s: b.Server, ctx: ctx}
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	began := time.Now()
+	got, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := time.Since(began); d < 3*acceptPause || b.Counters.Accepts.Load() != 3 {
+		t.Errorf("accepted after %v and %d failures", d, b.Counters.Accepts.Load())
+	}
+	got.(*client).Shut(stream.LeftByUs)
+	cancel()
+	if _, err := (&listener{Listener: &starved{ln, 9}, s: b.Server, ctx: ctx}).Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the end: %v", err)
+	}
+}
+
+// Connections are many and the memory small: what one costs while it is quiet,
+// goroutines, rings and redcon's buffers together, has a bound.
+func TestQuietConnectionsAreSmall(t *testing.T) {
+	b := start(t, nil)
+	memory := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc + m.StackInuse
+	}
+	before := memory()
+	const conns = 200
+	for i := range conns {
+		d := b.dial(t)
+		d.say("RPC.CALL", "1", "read", fields, strings.Repeat("x", 2000))
+		eventually(t, "arrival", func() bool { a, _ := b.sink.counts(); return a == i+1 })
+		b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: make([]byte, 4096)})
+		d.hear()
+		d.rd = nil
+	}
+	b.sink.mu.Lock()
+	b.sink.arrived = nil
+	b.sink.mu.Unlock()
+	if each := int64(memory()-before) / conns; each > 64<<10 {
+		t.Errorf("%d bytes a connection", each)
+	} else {
+		t.Logf("%d bytes a connection, the test's own side included", each)
+	}
+}
+
 // Any fields at all are either understood within their bounds or turned down.
 func FuzzCall(f *testing.F) {
 	f.Add("read", fields, "x")
