Excuse the process's own pauses before ending quiet connections

A message half read, or an idle connection, counted the time in which the process itself stood still; a pause of half a minute would have ended them all. Half-read messages count on the monotonic clock: a step of the Unix clock ends nothing.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -26,15 +26,16 @@
 
 // Mechanics of connections; none of them decides about a request.
 const (
-	maxOpen      = 32                    // requests open on one connection
-	inLimit      = 16 << 10              // in ring: one message and what was read beyond it
-	outLimit     = 160 << 10             // out ring: the answers of all open requests
-	sweepEvery   = 50 * time.Millisecond // idle and stalled connections are looked for
-	finWait      = 2 * time.Second       // for a dispatcher to close after `0 FIN`
-	partialLimit = 10 * time.Second      // for the rest of a message, if nothing is open
-	partialMost  = 30 * time.Second      // and in any case
-	acceptPause  = 20 * time.Millisecond // while no descriptor is free
-	complainGap  = 2 * time.Second       // between log lines about bad input
+	maxOpen      = 32                     // requests open on one connection
+	inLimit      = 16 << 10               // in ring: one message and what was read beyond it
+	outLimit     = 160 << 10              // out ring: the answers of all open requests
+	sweepEvery   = 50 * time.Millisecond  // idle and stalled connections are looked for
+	pauseOver    = 500 * time.Millisecond // a sweep this late means that the process stood still
+	finWait      = 2 * time.Second        // for a dispatcher to close after `0 FIN`
+	partialLimit = 10 * time.Second       // for the rest of a message, if nothing is open
+	partialMost  = 30 * time.Second       // and in any case
+	acceptPause  = 20 * time.Millisecond  // while no descriptor is free
+	complainGap  = 2 * time.Second        // between log lines about bad input
 )
 
 // Sink takes what dispatchers send. Its methods must not block.
@@ -504,13 +505,30 @@
 func (s *Server) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
 	defer tick.Stop()
+	last := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			s.sweepOnce(time.Now())
 		}
+		now := time.Now()
+		if now.Sub(last) > pauseOver {
+			s.excuse(now)
+		}
+		last = now
+		s.sweepOnce(now)
+	}
+}
+
+// excuse lets every connection's times count from now: the process stood still,
+// and that its peers were not heard meanwhile is nobody's fault.
+func (s *Server) excuse(now time.Time) {
+	for _, c := range s.all() {
+		c.Excuse(now)
+		c.mu.Lock()
+		c.used = now
+		c.mu.Unlock()
 	}
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -482,6 +482,37 @@
 	}
 }
 
+// A process that stood still must not take its own silence for its peers': a
+// message that was half read then, and connections that were idle, stay.
+func TestPauseIsExcused(t *testing.T) {
+	b := start(t, func(s *Server) { s.partialSoft = 10 * time.Second })
+	d := b.dial(t)
+	half := words("RPC.HEALTH", "1", "")
+	d.Write(half[:9])
+	var c *client
+	eventually(t, "half a message", func() bool {
+		list := b.all()
+		if len(list) == 1 {
+			c = list[0]
+		}
+		return c != nil && c.Partial(time.Now()) > 0
+	})
+	later := time.Now().Add(time.Minute)
+	b.excuse(later)
+	b.sweepOnce(later)
+	if c.Ended() != stream.StillOpen {
+		t.Fatalf("ended by %v", c.Ended())
+	}
+	d.Write(half[9:])
+	if got := d.hear(); got != "1 GREEN  " {
+		t.Errorf("%q", got)
+	}
+	b.sweepOnce(later.Add(time.Minute)) // idle for a minute that was not excused
+	if got := d.hear(); got != "0 FIN" {
+		t.Errorf("%q", got)
+	}
+}
+
 // Leaving: every connection is told once, answers still go out, and closing the
 // listener ends none of them (redcon would close all it knows).
 func TestLeaving(t *testing.T) {
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -94,7 +94,7 @@
 				c.ready = before + whole
 			}
 			if c.in.Len() > c.ready {
-				c.partial.CompareAndSwap(0, time.Now().UnixNano())
+				c.partial.CompareAndSwap(0, since(time.Now()))
 			}
 			if whole > 0 && c.in.Len() == c.ready {
 				c.partial.Store(0)
@@ -110,13 +110,26 @@
 	return n, nil
 }
 
+// begin is what the monotonic clock counts from here; the Unix clock may jump.
+var begin = time.Now()
+
+// since is a time on that clock, never 0.
+func since(t time.Time) int64 { return int64(t.Sub(begin)) | 1 }
+
 // Partial is how long a message has been begun and not finished, 0 if none is.
 func (c *Conn) Partial(now time.Time) time.Duration {
-	since := c.partial.Load()
-	if since == 0 {
+	from := c.partial.Load()
+	if from == 0 {
 		return 0
 	}
-	return max(now.Sub(time.Unix(0, since)), 0)
+	return max(time.Duration(since(now)-from), 1)
+}
+
+// Excuse lets the time of a message that is not finished count from now on.
+func (c *Conn) Excuse(now time.Time) {
+	if from := c.partial.Load(); from != 0 {
+		c.partial.CompareAndSwap(from, since(now))
+	}
 }
 
 // Send queues one message, whole or not at all, and never blocks. A peer that
