--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -14,7 +14,8 @@
 
 // count logs every counter on one line. Requests read are the sum of served,
 // refused, failed, cancelled, gone and in_hand; answers queued that of sent,
-// dropped and what still waits; connections opened that of all ends and open.
+// dropped and what still waits; connections opened, tries that came to nothing
+// included, that of all ends and of those still open.
 func (p *parts) count(log *slog.Logger, line string) {
 	l, f, k := p.ledger, p.front, p.pool
 	var m runtime.MemStats
@@ -33,14 +34,14 @@
 			"health", f.Counters.Health.Load(), "unknown", f.Counters.Unknown.Load(),
 			"accept_failures", f.Counters.Accepts.Load(), "open", f.Conns(), traffic(&f.Traffic)),
 		slog.Group("pool",
-			"links", k.Counters.Links.Load(), "dial_failures", k.Counters.Dials.Load(),
+			"links", k.Counters.Links.Load(),
 			"spawned", k.Counters.Spawned.Load(), "respawned", k.Counters.Respawns.Load(),
 			"suspended", k.Counters.Suspends.Load(), "complete", k.Counters.Finished[pool.Complete].Load(),
 			"error", k.Counters.Finished[pool.Error].Load(), "cancelled", k.Counters.Finished[pool.Cancelled].Load(),
 			"moot", k.Counters.Finished[pool.Moot].Load(), "rejected", k.Counters.Rejected.Load(),
 			"running", k.Runs(), "bad_lines", k.Counters.Bad.Load(), "lost_notices", k.Counters.Gaps.Load(),
 			traffic(&k.Traffic)),
-		slog.Group("members", "sent", p.report.Sent.Load(), "failed", p.report.Failed.Load()),
+		slog.Group("members", "sent", p.report.Sent.Load(), "failed", p.report.Failed.Load(), traffic(&p.report.Traffic)),
 		slog.Group("process",
 			"cpu", cpu, "max_rss_kb", use.Maxrss, "heap_kb", m.HeapAlloc>>10, "from_os_kb", m.Sys>>10,
 			"gc", m.NumGC, "goroutines", runtime.NumGoroutine(), "descriptors", descriptors(),
--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -234,7 +234,7 @@
 	if n(p, "spawned") != n(p, "complete", "error", "cancelled", "moot", "running") {
 		s.t.Errorf("runs don't add up: %v", p)
 	}
-	for _, side := range []map[string]any{d, p} {
+	for _, side := range []map[string]any{d, p, group(c, "members")} {
 		l := group(side, "link")
 		ends := 0.0
 		for k := range l {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -221,12 +221,10 @@
 	*stream.Conn
 	s *Server
 
-	mu      sync.Mutex
-	open    map[uint64]*exchange.Exchange
-	used    time.Time // when it last carried something
-	fin     time.Time // when it was told that no new request may come
-	readEnd stream.End
-	readErr error
+	mu   sync.Mutex
+	open map[uint64]*exchange.Exchange
+	used time.Time // when it last carried something
+	fin  time.Time // when it was told that no new request may come
 }
 
 func (s *Server) wrap(c net.Conn) *client {
@@ -245,19 +243,6 @@
 	return cl
 }
 
-// Read notes how reading ended, for Close.
-func (c *client) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if err != nil {
-		c.mu.Lock()
-		if c.readEnd == stream.StillOpen {
-			c.readEnd, c.readErr = stream.EndOf(err, stream.ReadFailed), err
-		}
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
 // Write takes what redcon itself would send, which is nothing but replies to
 // broken framing; those connections end without one.
 func (c *client) Write(p []byte) (int, error) { return len(p), nil }
@@ -267,7 +252,7 @@
 // dispatcher that closed its side in order is still sent what it is owed.
 func (c *client) Close() error {
 	c.mu.Lock()
-	end, err, open := c.readEnd, c.readErr, len(c.open)
+	end, open := c.ReadEnd(), len(c.open)
 	c.mu.Unlock()
 	switch {
 	case end == stream.StillOpen:
@@ -279,7 +264,7 @@
 		return nil
 	}
 	if end == stream.BadFraming || end == stream.TooLong {
-		c.s.complain("broken input from a dispatcher", err)
+		c.s.complain("broken input from a dispatcher", nil, "end", end.String(), "from", c.RemoteAddr().String())
 	}
 	c.Shut(end)
 	return nil
@@ -479,7 +464,7 @@
 	c.mu.Lock()
 	delete(c.open, tag)
 	c.used = time.Now()
-	over := sent && len(c.open) == 0 && c.readEnd == stream.PeerClosed
+	over := sent && len(c.open) == 0 && c.ReadEnd() == stream.PeerClosed
 	c.mu.Unlock()
 	if over { // it had closed its side; that was the last answer it waited for
 		c.Finish(stream.PeerClosed)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -440,6 +440,52 @@
 	}
 }
 
+// By whichever End a connection goes, at each point of a request's life: what is
+// open is let go once, what has ended stays as it ended, others are untouched.
+func TestEveryEnd(t *testing.T) {
+	for _, end := range stream.Ends() {
+		if end.Outcome() == rules.ConnectFailed { // nothing was ever open on it
+			continue
+		}
+		t.Run(end.String(), func(t *testing.T) {
+			b := start(t, nil)
+			d, other := b.dial(t), b.dial(t)
+			for i := range 3 {
+				d.say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
+			}
+			d.say("RPC.CANCEL", "2")
+			eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == 3 && g == 1 })
+			b.sink.arrived[0].Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
+			if got := d.hear(); got != "1 ACK  r" {
+				t.Fatalf("%q", got)
+			}
+			for _, c := range b.all() {
+				if c.RemoteAddr().String() == d.LocalAddr().String() {
+					c.Shut(end)
+					c.Shut(stream.PeerReset)
+				}
+			}
+			if got := d.hear(); got != "EOF" {
+				t.Errorf("%q", got)
+			}
+			eventually(t, "letting go", func() bool { _, g := b.sink.counts(); return g == 2 })
+			for i, want := range []exchange.Fate{exchange.WasServed, exchange.WasCancelled, exchange.WasGone} {
+				x := b.sink.arrived[i]
+				if x.Fate() != want || x.Answer(exchange.Answer{}) {
+					t.Errorf("request %d is %v, want %v", i+1, x.Fate(), want)
+				}
+			}
+			if b.Traffic.Ended[end].Load() != 1 {
+				t.Errorf("no end by %v", end)
+			}
+			other.say("RPC.HEALTH", "1")
+			if got := other.hear(); got != "1 GREEN  " {
+				t.Errorf("the other connection: %q", got)
+			}
+		})
+	}
+}
+
 // A dispatcher that closes its side in order may still read; it gets what it is
 // owed, and then the connection ends.
 func TestHalfClosedIsStillAnswered(t *testing.T) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"robinmast/internal/stream"
 )
 
 // Mechanics of the reports. An entry lapses 3 s after the last one, so that two
@@ -24,6 +26,7 @@
 	backoffMin = 50 * time.Millisecond
 	backoffMax = period
 	logGap     = 5 * time.Second
+	ringLimit  = 8 << 10 // a report, and what is read of an answer at a time
 )
 
 // Reporter reports one node's phase.
@@ -31,6 +34,8 @@
 	Sent   atomic.Int64 // reports that were taken
 	Failed atomic.Int64
 
+	Traffic stream.Traffic
+
 	url    string
 	client *http.Client
 	log    *slog.Logger
@@ -41,14 +46,25 @@
 
 // New returns a reporter to the service at addr for the node called name.
 func New(addr, name string, log *slog.Logger) *Reporter {
-	t := &http.Transport{
-		Proxy: nil, DialContext: (&net.Dialer{Timeout: timeout}).DialContext, DisableCompression: true,
-		MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
-	}
-	return &Reporter{
+	r := &Reporter{
 		period: period, url: "http://" + addr + "/members/" + url.PathEscape(name), log: log,
-		client: &http.Client{Transport: t, Timeout: timeout}, change: make(chan struct{}, 1),
+		change: make(chan struct{}, 1),
+	}
+	r.client = &http.Client{Timeout: timeout, Transport: &http.Transport{
+		Proxy: nil, DialContext: r.dial, DisableCompression: true,
+		MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
+	}}
+	return r
+}
+
+// dial opens a connection whose bytes pass through rings like all others.
+func (r *Reporter) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	raw, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, network, addr)
+	if err != nil {
+		r.Traffic.NeverOpened(err)
+		return nil, err
 	}
+	return stream.New(raw, stream.Bytes{}, stream.Limits{In: ringLimit, Out: ringLimit, Stall: timeout}, &r.Traffic, nil), nil
 }
 
 // SetUp sets the phase and, if it changed, reports it at once.
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"robinmast/internal/stream"
 )
 
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -31,7 +33,17 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { r.Run(ctx); close(done) }()
-	t.Cleanup(func() { cancel(); <-done })
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		eventually(t, "every connection's end", func() bool {
+			ended := int64(0)
+			for _, e := range stream.Ends() {
+				ended += r.Traffic.Ended[e].Load()
+			}
+			return ended == r.Traffic.Opened.Load() && r.Traffic.Held.Load() == 0
+		})
+	})
 	return r
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,16 @@
 	drain
 )
 
+// decisions is what the loop needs of the module.
+type decisions interface {
+	Arrive(now time.Duration, q rules.Request)
+	Ended(now time.Duration, id rules.RequestID, o rules.Outcome, took time.Duration)
+	Gone(now time.Duration, id rules.RequestID)
+	Drain(now time.Duration, left time.Duration)
+	Woke(now time.Duration, token uint64, gauges []float64)
+	Settle(now time.Duration)
+}
+
 type event struct {
 	kind kind
 	x    *exchange.Exchange
@@ -91,7 +101,7 @@
 	poke   chan struct{}
 
 	// The rest belongs to the loop.
-	module  *rules.Module
+	module  decisions
 	isBound bool
 	born    time.Duration
 	now     time.Duration
@@ -166,13 +176,19 @@
 	if err := n.build(n.now, n.cfg.Settings.Cold); err != nil {
 		return err
 	}
+	n.loop(ctx)
+	return nil
+}
+
+// loop takes batches until ctx ends.
+func (n *Node) loop(ctx context.Context) {
 	wait := time.NewTimer(0)
 	defer wait.Stop()
 	for {
 		wait.Reset(n.untilTimer())
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-n.poke:
 		case <-wait.C:
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -42,10 +43,10 @@
 
 func usual() rules.Settings {
 	class := rules.Class{Aim: 2 * time.Second, Deadline: 6 * time.Second, Worth: 1, Window: 300 * time.Millisecond}
-	safe, once := class, class
-	once.Effect = rules.Keyed
+	safe, once, never := class, class, class
+	once.Effect, never.Effect = rules.Keyed, rules.Unsafe
 	return rules.Settings{
-		Tick: 2 * time.Millisecond, Cores: 2, Nodes: 1, Callers: 1, Classes: []rules.Class{safe, once},
+		Tick: 2 * time.Millisecond, Cores: 2, Nodes: 1, Callers: 1, Classes: []rules.Class{safe, once, never},
 		MemoryKB: 1e6, RunFactor: 4, EntryKB: 1, Preemption: rules.PreemptDrop, FallMultiple: 8,
 		FallWindow: time.Second, DrainGrace: 100 * time.Millisecond, PassesPatience: true, TellsGone: true,
 		Gauges: []string{"cpu_busy", "runnable"}, HonoursRetry: true, MaxRetryAfter: time.Second,
@@ -157,6 +158,19 @@
 	r.empty()
 }
 
+// Unsafe work that was stopped may have had its effect: it fails, and neither is
+// refused nor runs again.
+func TestUnsafeRunsOnce(t *testing.T) {
+	r := newRig(t, usual(), true)
+	a := r.send(2, nil)
+	r.end(a, pool.Cancelled, "")
+	r.only(a, exchange.Failed, "")
+	if len(r.spawned) != 1 {
+		t.Errorf("spawned %v", r.spawned)
+	}
+	r.empty()
+}
+
 // A caller that leaves gets no answer; its safe run is stopped, and whichever
 // way the run then ends, nothing stays behind.
 func TestGone(t *testing.T) {
@@ -438,6 +452,72 @@
 	}
 }
 
+// spy notes what reaches the module.
+type spy struct {
+	decisions
+	gauges  []float64
+	settled []time.Duration
+	fed     int
+}
+
+func (s *spy) Woke(now time.Duration, token uint64, g []float64) {
+	s.gauges = g
+	s.decisions.Woke(now, token, g)
+}
+
+func (s *spy) Arrive(now time.Duration, q rules.Request) {
+	s.fed++
+	s.decisions.Arrive(now, q)
+}
+
+func (s *spy) Settle(now time.Duration) {
+	s.settled = append(s.settled, now)
+	s.decisions.Settle(now)
+}
+
+func TestGaugesReachTheModule(t *testing.T) {
+	r := newRig(t, usual(), true)
+	s := &spy{decisions: r.module}
+	r.module = s
+	r.Polled([]float64{0.5, 3})
+	for end := time.Now().Add(2 * time.Second); s.gauges == nil && time.Now().Before(end); {
+		time.Sleep(r.untilTimer())
+		r.turn()
+	}
+	if len(s.gauges) != 2 || s.gauges[0] != 0.5 || s.gauges[1] != 3 {
+		t.Errorf("gauges %v", s.gauges)
+	}
+}
+
+// However fast events come, the module settles once for all that waited, and at
+// most once a tick.
+func TestBatches(t *testing.T) {
+	set := usual()
+	set.Tick = 5 * time.Millisecond
+	r := newRig(t, set, true)
+	s := &spy{decisions: r.module}
+	r.module = s
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.loop(ctx); close(done) }()
+	const requests = 200
+	for i := range requests {
+		r.Arrived(exchange.New(&r.ledger, r.side, uint64(i+1), exchange.Call{Txn: fmt.Sprint(i), Door: unixMs(), Safe: true, KB: 1}))
+		time.Sleep(100 * time.Microsecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	cancel()
+	<-done
+	if s.fed != requests {
+		t.Errorf("%d of %d requests reached the module", s.fed, requests)
+	}
+	for i := 1; i < len(s.settled); i++ {
+		if gap := s.settled[i] - s.settled[i-1]; gap < set.Tick {
+			t.Fatalf("settled again after %v", gap)
+		}
+	}
+}
+
 // The clocks of two programs may say anything; the module gets sane times.
 func TestRequestTimes(t *testing.T) {
 	const now = 1764576000500.0
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -60,7 +60,6 @@
 // Counters are what the link counts besides its traffic.
 type Counters struct {
 	Links    atomic.Int64 // links that were bound
-	Dials    atomic.Int64 // tries that failed
 	Spawned  atomic.Int64 // runs asked for
 	Respawns atomic.Int64 // of those, asked for again on a new link
 	Suspends atomic.Int64
@@ -224,8 +223,7 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	raw, err := d.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
-		l.Counters.Dials.Add(1)
-		return stream.EndOf(err, stream.DialFailed), fmt.Errorf("dial worker pool: %w", err)
+		return l.Traffic.NeverOpened(err), fmt.Errorf("dial worker pool: %w", err)
 	}
 	c := stream.New(raw, &stream.Lines{Longest: longestLine},
 		stream.Limits{In: inLimit, Out: outLimit, Stall: l.quiet}, &l.Traffic, nil)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -354,7 +354,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { l.Run(ctx); close(done) }()
-	eventually(t, "tries", func() bool { return l.Counters.Dials.Load() >= 2 })
+	eventually(t, "tries", func() bool { return l.Traffic.Ended[stream.DialRefused].Load() >= 2 })
 	if ln, err = net.Listen("tcp", addr); err != nil {
 		t.Skip("the port was taken meanwhile")
 	}
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"robinmast/rules"
 )
 
 // StallLimit is how long a peer may usually take nothing before its connection
@@ -26,7 +28,7 @@
 
 // Traffic counts connections, bytes and messages; any goroutine may read it.
 type Traffic struct {
-	Opened    atomic.Int64
+	Opened    atomic.Int64 // tries included that came to nothing
 	BytesIn   atomic.Int64
 	BytesOut  atomic.Int64
 	Queued    atomic.Int64 // messages given to Send
@@ -37,6 +39,17 @@
 	Ended     [numEnds]atomic.Int64
 }
 
+// NeverOpened counts a try to connect that came to nothing.
+func (t *Traffic) NeverOpened(err error) End {
+	end := EndOf(err, DialFailed)
+	if end.Outcome() != rules.ConnectFailed {
+		end = DialFailed
+	}
+	t.Opened.Add(1)
+	t.Ended[end].Add(1)
+	return end
+}
+
 // Conn is a connection whose bytes pass through its two rings. Read belongs to
 // one goroutine; everything else may be called by any.
 type Conn struct {
@@ -44,8 +57,9 @@
 	traffic *Traffic
 	limits  Limits
 	frame   Framer
-	in      *Ring // owned by the reader
-	ready   int   // bytes at its front that are whole messages
+	in      *Ring         // owned by the reader
+	ready   int           // bytes at its front that are whole messages
+	readEnd atomic.Uint32 // how reading ended, for Close
 	partial atomic.Int64
 
 	mu      sync.Mutex
@@ -76,6 +90,17 @@
 // Read fills p with bytes of whole messages only, so that what parses them
 // never has to keep part of one. Broken bytes give an *Error.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if err != nil {
+		c.readEnd.CompareAndSwap(uint32(StillOpen), uint32(EndOf(err, ReadFailed)))
+	}
+	return n, err
+}
+
+// ReadEnd is how reading ended, StillOpen while it has not.
+func (c *Conn) ReadEnd() End { return End(c.readEnd.Load()) }
+
+func (c *Conn) read(p []byte) (int, error) {
 	for c.ready == 0 {
 		space := c.in.Space()
 		if len(space) == 0 {
@@ -226,9 +251,21 @@
 	}
 }
 
-// Close ends the connection from this side.
+// Write is Send for those who know connections as an io.Writer.
+func (c *Conn) Write(p []byte) (int, error) {
+	if !c.Send(p) {
+		return 0, net.ErrClosed
+	}
+	return len(p), nil
+}
+
+// Close ends the connection: in the way that reading ended, else from this side.
 func (c *Conn) Close() error {
-	c.Shut(LeftByUs)
+	end := c.ReadEnd()
+	if end == StillOpen {
+		end = LeftByUs
+	}
+	c.Shut(end)
 	return nil
 }
 
--- a/internal/stream/frame.go
+++ b/internal/stream/frame.go
@@ -11,6 +11,12 @@
 	Scan(p []byte) (whole int, end End)
 }
 
+// Bytes frames nothing: every byte is handed on as it comes.
+type Bytes struct{}
+
+// Scan takes all.
+func (Bytes) Scan(p []byte) (int, End) { return len(p), StillOpen }
+
 // Lines frames messages that end in a line feed.
 type Lines struct {
 	Longest int
