--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -32,6 +32,7 @@
 	backoffMax  = 500 * time.Millisecond // the same after many
 	quietLimit  = 10 * time.Second       // without a line while polls are out, the link is replaced
 	complainGap = 2 * time.Second        // between log lines about bad input
+	downGap     = 5 * time.Second        // between log lines while the worker pool is away
 )
 
 // End is how a run ended.
@@ -192,7 +193,7 @@
 
 // Run keeps the link up until ctx ends.
 func (l *Link) Run(ctx context.Context) {
-	wait := backoffMin
+	wait, logged, at := backoffMin, int64(-1), time.Time{}
 	for ctx.Err() == nil {
 		began := time.Now()
 		end, err := l.once(ctx)
@@ -202,7 +203,10 @@
 		if time.Since(began) > time.Second {
 			wait = backoffMin
 		}
-		l.log.Warn("worker pool link ended", "end", end.String(), "err", err, "runs", l.Runs())
+		if links := l.Counters.Links.Load(); links != logged || time.Since(at) > downGap {
+			logged, at = links, time.Now()
+			l.log.Warn("worker pool link ended", "end", end.String(), "err", err, "runs", l.Runs())
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
