Keep the drain's grace through a new module; never wait for the log's reader

Found by reading: a module made anew while the node leaves, after a defect or at a late bound, took the present as the notice and would have run what came past the grace. It is now told the time of the notice. A log pipe that nobody reads would have held up the loop, one that was closed would have ended the process by SIGPIPE; lines now go through a queue that drops and counts.

--- /dev/null
+++ b/cmd/robinmast/log.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// logQueue is how many log lines may wait for whoever reads them.
+const logQueue = 256
+
+// logWriter hands log lines to a slow or broken reader without ever waiting for
+// it: the loop and the sides log too, and must not stand still by it.
+type logWriter struct {
+	lines chan []byte
+	lost  atomic.Int64
+	once  sync.Once
+	done  chan struct{}
+}
+
+func newLogWriter(out io.Writer) *logWriter {
+	w := &logWriter{lines: make(chan []byte, logQueue), done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		note := slog.New(slog.NewTextHandler(out, nil))
+		for line := range w.lines {
+			_, _ = out.Write(line) // there is nowhere else to say that this failed
+			if n := w.lost.Swap(0); n > 0 {
+				note.Warn("log lines were lost", "lost", n)
+			}
+		}
+	}()
+	return w
+}
+
+// Write queues one line, or drops it. It must not be called after close.
+func (w *logWriter) Write(p []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), p...):
+	default:
+		w.lost.Add(1)
+	}
+	return len(p), nil
+}
+
+// close waits a moment for what is queued to be written.
+func (w *logWriter) close(most time.Duration) {
+	w.once.Do(func() { close(w.lines) })
+	select {
+	case <-w.done:
+	case <-time.After(most):
+	}
+}
--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -37,7 +37,8 @@
 	drainPoll    = 5 * time.Millisecond   // how often a leaving node looks whether it is done
 	finMargin    = 300 * time.Millisecond // from `0 FIN` to the last answers, at least
 	quietExit    = 100 * time.Millisecond // nothing may come in for so long before it leaves early
-	flushTimeout = 150 * time.Millisecond // for the last answers
+	flushTimeout = 100 * time.Millisecond // for the last answers
+	logFlush     = 50 * time.Millisecond  // for the last log lines
 )
 
 func main() {
@@ -47,7 +48,9 @@
 		os.Exit(2)
 	}
 	limit(cfg)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("node", cfg.Name)
+	signal.Ignore(syscall.SIGPIPE) // else the node would die with the reader of its log
+	out := newLogWriter(os.Stderr)
+	log := slog.New(slog.NewTextHandler(out, nil)).With("node", cfg.Name)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	ln, err := net.Listen("tcp", cfg.Listen)
@@ -55,8 +58,12 @@
 		fmt.Fprintf(os.Stderr, "robinmast: listen: %v\n", err)
 		os.Exit(1)
 	}
-	if err := serve(cfg, ln, signals, log); err != nil {
+	err = serve(cfg, ln, signals, log)
+	if err != nil {
 		log.Error("node failed", "err", err)
+	}
+	out.close(logFlush)
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,8 +113,9 @@
 	polled  bool    // the gauges were asked for the first timer
 	table   table
 	late    []event // made by the loop itself, for its next batch
-	left    time.Duration
 	leaving bool
+	notice  time.Duration // to leave
+	left    time.Duration // until the stop, from then
 }
 
 type timer struct {
@@ -278,9 +279,7 @@
 		if err := n.build(n.born, n.cfg.Settings.Cold); err != nil {
 			panic(err) // it was made before from the same settings
 		}
-		if n.leaving {
-			n.module.Drain(n.now, n.left)
-		}
+		n.drain()
 	}()
 	run()
 }
@@ -325,8 +324,18 @@
 	case bound:
 		n.bind(e)
 	case drain:
-		n.leaving, n.left = true, e.took
-		n.module.Drain(n.now, e.took)
+		if !n.leaving {
+			n.leaving, n.notice, n.left = true, n.now, e.took
+		}
+		n.drain()
+	}
+}
+
+// drain tells the module of the notice, if there was one, as of when it came: a
+// module made anew must not begin a grace of its own.
+func (n *Node) drain() {
+	if n.leaving {
+		n.module.Drain(n.notice, n.left)
 	}
 }
 
@@ -343,9 +352,7 @@
 	if err := n.build(n.now-up, e.cold); err != nil {
 		panic(err) // it was made before from the same settings
 	}
-	if n.leaving {
-		n.module.Drain(n.now, n.left)
-	}
+	n.drain()
 	n.table = newTable(n.cfg.KeyBytes)
 	for _, it := range waiting {
 		n.forget(it)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -400,6 +400,29 @@
 	r.empty()
 }
 
+// A module made anew while the node leaves keeps to the grace and the stop that
+// count from the notice: with a grace of its own it would run what came too late.
+func TestDrainOutlivesTheModule(t *testing.T) {
+	for name, anew := range map[string]func(*rig){
+		"after a defect": func(r *rig) { r.guard(func() { panic("defect") }) },
+		"bound late":     func(r *rig) { r.Bound(false, time.Hour); r.turn() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, usual(), name != "bound late")
+			r.Drain(400 * time.Millisecond)
+			r.turn()
+			time.Sleep(120 * time.Millisecond)
+			anew(r)
+			past := r.send(0, nil)
+			r.only(past, exchange.Refused, "")
+			if len(r.spawned) != 0 {
+				t.Errorf("spawned %v", r.spawned)
+			}
+			r.empty()
+		})
+	}
+}
+
 // A request in hand under the same name can't be told apart by the worker pool.
 func TestSameTxn(t *testing.T) {
 	r := newRig(t, usual(), true)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -26,7 +26,7 @@
 const (
 	longestLine = 24 << 10               // a result of 4 KiB in base64, and room
 	inLimit     = longestLine + 8<<10    // in ring
-	outLimit    = 8 << 20                // out ring: commands of two thousand requests
+	outLimit    = 2 << 20                // out ring: commands of five hundred requests
 	dialTimeout = time.Second            // per try
 	backoffMin  = 10 * time.Millisecond  // between tries to connect
 	backoffMax  = 500 * time.Millisecond // the same after many
