--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -417,7 +417,7 @@
 func TestServeDrain(t *testing.T) {
 	s := newSystem(t)
 	d := s.dial()
-	d.call(1, 300, "")
+	d.call(1, 700, "")
 	time.Sleep(20 * time.Millisecond)
 	ended := make(chan map[string]any, 1)
 	go func() { ended <- s.stop() }()
