--- a/cmd/robinmast/config.go
+++ b/cmd/robinmast/config.go
@@ -1,3 +1,6 @@
+// This file owns the configuration: where it comes from and which one is usable.
+// It must never start anything.
+
 package main
 
 import (
--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -1,3 +1,5 @@
+// This file owns the line of all counters. It must never change one.
+
 package main
 
 import (
--- a/cmd/robinmast/log.go
+++ b/cmd/robinmast/log.go
@@ -1,3 +1,6 @@
+// This file owns the way of log lines to standard error. It must never make
+// whoever logs wait.
+
 package main
 
 import (
--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,7 +19,7 @@
 	"testing"
 	"time"
 
-	"github.com/tidwall/redcon"
+	"robinmast/internal/standin"
 )
 
 // workers stands in for the worker pool, from the published protocol. It runs a
@@ -37,7 +38,7 @@
 }
 
 func newWorkers(t *testing.T) *workers {
-	w := &workers{t: t, ln: listen(t), runs: map[string]*time.Timer{}, started: map[string]int{}}
+	w := &workers{t: t, ln: standin.Listen(t), runs: map[string]*time.Timer{}, started: map[string]int{}}
 	go func() {
 		for {
 			c, err := w.ln.Accept()
@@ -50,16 +51,6 @@
 	return w
 }
 
-func listen(t *testing.T) net.Listener {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	return ln
-}
-
 func (w *workers) serve(c net.Conn) {
 	defer c.Close()
 	lines := bufio.NewScanner(c)
@@ -127,6 +118,7 @@
 // system is a node under test with all it talks to.
 type system struct {
 	t       *testing.T
+	ln      net.Listener
 	addr    string
 	workers *workers
 	signals chan os.Signal
@@ -172,8 +164,8 @@
 		w.WriteHeader(http.StatusNoContent)
 	}))
 	t.Cleanup(members.Close)
-	ln := listen(t)
-	s.addr = ln.Addr().String()
+	ln := standin.Listen(t)
+	s.ln, s.addr = ln, ln.Addr().String()
 	text := strings.NewReplacer("127.0.0.1:8080", s.addr, "127.0.0.1:4400", s.workers.ln.Addr().String(),
 		"127.0.0.1:2379", strings.TrimPrefix(members.URL, "http://"), `"stop_ms":3200`, `"stop_ms":1500`, `"cpus":2`, `"cpus":64`).Replace(goodConfig)
 	cfg, err := parse([]byte(text), none)
@@ -188,13 +180,9 @@
 		}
 	})
 	d := s.dial()
-	for end := time.Now().Add(5 * time.Second); s.log.line("worker pool bound") == nil; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the worker pool was not bound")
-		}
-	}
-	d.say("RPC.HEALTH", "1", "")
-	if got := d.hear(); !strings.HasPrefix(got, "1 GREEN") {
+	standin.Eventually(t, "a bound worker pool", func() bool { return s.log.line("worker pool bound") != nil })
+	d.Say("RPC.HEALTH", "1", "")
+	if got := d.Hear(); !strings.HasPrefix(got, "1 GREEN") {
 		t.Fatalf("%q", got)
 	}
 	d.Close()
@@ -252,64 +240,20 @@
 	return c
 }
 
-type dispatcher struct {
-	t *testing.T
-	*net.TCPConn
-	rd *bufio.Reader
-}
-
-func (s *system) dial() *dispatcher {
-	s.t.Helper()
-	c, err := net.Dial("tcp", s.addr)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	s.t.Cleanup(func() { c.Close() })
-	return &dispatcher{t: s.t, TCPConn: c.(*net.TCPConn), rd: bufio.NewReader(c)}
-}
-
-func (d *dispatcher) say(parts ...string) {
-	b := redcon.AppendArray(nil, len(parts))
-	for _, p := range parts {
-		b = redcon.AppendBulkString(b, p)
-	}
-	if _, err := d.Write(b); err != nil {
-		d.t.Error(err)
-	}
-}
+type dispatcher struct{ *standin.Dispatcher }
 
-// hear reads one answer; "EOF" if the connection ended.
-func (d *dispatcher) hear() string {
-	_ = d.SetReadDeadline(time.Now().Add(5 * time.Second))
-	var n int
-	if _, err := fmt.Fscanf(d.rd, "*%d\r\n", &n); err != nil {
-		return "EOF"
-	}
-	parts := make([]string, n)
-	for i := range parts {
-		var size int
-		if _, err := fmt.Fscanf(d.rd, "$%d\r\n", &size); err != nil {
-			return "EOF"
-		}
-		body := make([]byte, size+2)
-		if _, err := io.ReadFull(d.rd, body); err != nil {
-			return "EOF"
-		}
-		parts[i] = string(body[:size])
-	}
-	return strings.Join(parts, " ")
-}
+func (s *system) dial() dispatcher { return dispatcher{standin.Dial(s.t, s.addr)} }
 
 var txns atomic.Int64
 
 // call sends a request that runs for some milliseconds and returns its txn.
-func (d *dispatcher) call(tag, ms int, more string) string {
+func (d dispatcher) call(tag, ms int, more string) string {
 	txn := fmt.Sprintf("%016x", txns.Add(1))
 	class := "read"
 	if strings.Contains(more, "unique=") {
 		class = "pay"
 	}
-	d.say("RPC.CALL", fmt.Sprint(tag), class, fmt.Sprintf("txn=%s,door=%d,lb=1,team=acme,limit=4000,cpu=5,ram=10,standing=0.5%s",
+	d.Say("RPC.CALL", fmt.Sprint(tag), class, fmt.Sprintf("txn=%s,door=%d,lb=1,team=acme,limit=4000,cpu=5,ram=10,standing=0.5%s",
 		txn, time.Now().UnixMilli(), more), fmt.Sprint(ms))
 	return txn
 }
@@ -335,13 +279,13 @@
 				d.call(tag, 1+tag%5, "")
 				open[fmt.Sprint(tag)] = true
 				if tag%7 == 0 {
-					d.say("RPC.CANCEL", fmt.Sprint(tag))
+					d.Say("RPC.CANCEL", fmt.Sprint(tag))
 				}
 			}
 			seen := map[string]bool{}
-			d.say("RPC.HEALTH", "99", "")
+			d.Say("RPC.HEALTH", "99", "")
 			for missing := 18; missing > 0; { // two were cancelled and may be answered or not
-				tag, word, _ := strings.Cut(d.hear(), " ")
+				tag, word, _ := strings.Cut(d.Hear(), " ")
 				switch {
 				case tag == "99":
 					continue
@@ -358,11 +302,7 @@
 	}
 	wg.Wait()
 	s.signals <- syscall.SIGUSR1
-	for end := time.Now().Add(3 * time.Second); s.log.line("counters") == nil; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("no counters on the signal")
-		}
-	}
+	standin.Eventually(t, "counters on the signal", func() bool { return s.log.line("counters") != nil })
 	c := s.stop()
 	r := c["requests"].(map[string]any)
 	if r["read"].(float64) != 7*20+2 || r["served"].(float64) == 0 || r["gone"].(float64) != 2 {
@@ -395,7 +335,7 @@
 		time.Sleep(30 * time.Millisecond)
 	}
 	for range all {
-		if got := d.hear(); !strings.Contains(got, " ACK ") || !strings.HasSuffix(got, "did 30") {
+		if got := d.Hear(); !strings.Contains(got, " ACK ") || !strings.HasSuffix(got, "did 30") {
 			t.Errorf("%q", got)
 		}
 	}
@@ -421,24 +361,21 @@
 	time.Sleep(20 * time.Millisecond)
 	ended := make(chan map[string]any, 1)
 	go func() { ended <- s.stop() }()
-	for end := time.Now().Add(2 * time.Second); s.log.line("notice to leave") == nil && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
+	standin.Eventually(t, "the notice", func() bool { return s.log.line("notice to leave") != nil })
 	d.call(2, 10, "")
-	if got := d.hear(); !strings.HasPrefix(got, "2 ACK") {
+	if got := d.Hear(); !strings.HasPrefix(got, "2 ACK") {
 		t.Errorf("within the grace: %q", got)
 	}
-	if got := d.hear(); got != "0 FIN" {
+	if got := d.Hear(); got != "0 FIN" {
 		t.Errorf("at its end: %q", got)
 	}
-	if c, err := net.Dial("tcp", s.addr); err == nil {
-		c.Close()
-		t.Error("still listening")
+	if err := s.ln.(*net.TCPListener).SetDeadline(time.Now()); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("still listening: %v", err)
 	}
-	if got := d.hear(); !strings.HasPrefix(got, "1 ACK") {
+	if got := d.Hear(); !strings.HasPrefix(got, "1 ACK") {
 		t.Errorf("what ran: %q", got)
 	}
-	if got := d.hear(); got != "EOF" {
+	if got := d.Hear(); got != "EOF" {
 		t.Errorf("at the exit: %q", got)
 	}
 	<-ended
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -1,3 +1,6 @@
+// This file owns the reading of requests: tags, fields and their bounds. It must
+// never keep a byte of the message it reads, and never answer.
+
 package front
 
 import (
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -16,10 +15,9 @@
 	"testing"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"robinmast/internal/exchange"
 	"robinmast/internal/settings"
+	"robinmast/internal/standin"
 	"robinmast/internal/stream"
 	"robinmast/rules"
 )
@@ -85,10 +83,7 @@
 	if tune != nil {
 		tune(b.Server)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := standin.Listen(t)
 	b.addr = ln.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
@@ -100,7 +95,7 @@
 			t.Error(err)
 		}
 		f := &b.Traffic
-		eventually(t, "messages add up", func() bool {
+		standin.Eventually(t, "messages add up", func() bool {
 			return f.Queued.Load() == f.Sent.Load()+f.Dropped.Load() && f.Held.Load() == 0
 		})
 		ended := int64(0)
@@ -114,72 +109,7 @@
 	return b
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not in time: %s", what)
-		}
-	}
-}
-
-// dispatcher stands in for a dispatcher, from the published protocol.
-type dispatcher struct {
-	t *testing.T
-	*net.TCPConn
-	rd *bufio.Reader
-}
-
-func (b *bench) dial(t *testing.T) *dispatcher {
-	t.Helper()
-	c, err := net.Dial("tcp", b.addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	return &dispatcher{t: t, TCPConn: c.(*net.TCPConn), rd: bufio.NewReader(c)}
-}
-
-func words(parts ...string) []byte {
-	b := redcon.AppendArray(nil, len(parts))
-	for _, p := range parts {
-		b = redcon.AppendBulkString(b, p)
-	}
-	return b
-}
-
-func (d *dispatcher) say(parts ...string) {
-	d.t.Helper()
-	if _, err := d.Write(words(parts...)); err != nil {
-		d.t.Fatal(err)
-	}
-}
-
-// hear reads one answer; "EOF" if the connection ended.
-func (d *dispatcher) hear() string {
-	d.t.Helper()
-	_ = d.SetReadDeadline(time.Now().Add(5 * time.Second))
-	var n int
-	if _, err := fmt.Fscanf(d.rd, "*%d\r\n", &n); err != nil {
-		if ne, ok := err.(net.Error); ok && ne.Timeout() {
-			d.t.Fatal("no answer")
-		}
-		return "EOF"
-	}
-	parts := make([]string, n)
-	for i := range parts {
-		var size int
-		if _, err := fmt.Fscanf(d.rd, "$%d\r\n", &size); err != nil {
-			d.t.Fatalf("answer cut short: %v", err)
-		}
-		body := make([]byte, size+2)
-		if _, err := io.ReadFull(d.rd, body); err != nil {
-			d.t.Fatalf("answer cut short: %v", err)
-		}
-		parts[i] = string(body[:size])
-	}
-	return strings.Join(parts, " ")
-}
+func (b *bench) dial(t *testing.T) *standin.Dispatcher { return standin.Dial(t, b.addr) }
 
 const (
 	fields = "txn=9b1f03aa5c7e2d41,door=1764576000123,lb=4,team=acme,limit=480,second=1,cpu=12.50,ram=24.5," +
@@ -191,8 +121,8 @@
 	b := start(t, nil)
 	d := b.dial(t)
 	body := strings.Repeat("\r\n*1\x00", 300)
-	d.say("RPC.CALL", "7", "read", fields, body)
-	eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	d.Say("RPC.CALL", "7", "read", fields, body)
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil })
 	x := b.sink.last()
 	want := exchange.Call{
 		Txn: "9b1f03aa5c7e2d41", ClassName: "read", Class: 0, Tenant: 0, Caller: 4, Door: 1764576000123, Limit: 480,
@@ -202,8 +132,8 @@
 		t.Errorf("read %+v", x.Call)
 	}
 	// The words of a message live in its reader's buffer; what is kept must not.
-	d.say("RPC.CALL", "8", "pay", keyed, strings.Repeat("z", 2000))
-	eventually(t, "second arrival", func() bool { a, _ := b.sink.counts(); return a == 2 })
+	d.Say("RPC.CALL", "8", "pay", keyed, strings.Repeat("z", 2000))
+	standin.Eventually(t, "second arrival", func() bool { a, _ := b.sink.counts(); return a == 2 })
 	if string(x.Body) != body || x.Txn != want.Txn {
 		t.Error("a later message changed what was kept")
 	}
@@ -237,8 +167,8 @@
 		b.sink.mu.Lock()
 		b.sink.answer = &c.answer
 		b.sink.mu.Unlock()
-		d.say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
-		if got := d.hear(); got != fmt.Sprint(i+1, " ", c.want) {
+		d.Say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
+		if got := d.Hear(); got != fmt.Sprint(i+1, " ", c.want) {
 			t.Errorf("answer %q, want %q", got, c.want)
 		}
 	}
@@ -247,14 +177,14 @@
 func TestHealth(t *testing.T) {
 	b := start(t, nil)
 	d := b.dial(t)
-	d.say("RPC.HEALTH", "1", "")
-	if got := d.hear(); got != "1 GREEN  " {
+	d.Say("RPC.HEALTH", "1", "")
+	if got := d.Hear(); got != "1 GREEN  " {
 		t.Errorf("%q", got)
 	}
 	b.SetHealth(false)
 	b.Say(0.5)
-	d.say("RPC.HEALTH", "2")
-	if got := d.hear(); got != "2 RED feedback=0.5000 " {
+	d.Say("RPC.HEALTH", "2")
+	if got := d.Hear(); got != "2 RED feedback=0.5000 " {
 		t.Errorf("%q", got)
 	}
 }
@@ -312,13 +242,13 @@
 		"keyed, no key":    {[]string{"RPC.CALL", "5", "pay", fields, "x"}, "5"},
 		"health, tag of 0": {[]string{"RPC.HEALTH", "0", ""}, "0"},
 	} {
-		d.say(c.msg...)
-		if got := d.hear(); got != c.tag+" FAIL  " {
+		d.Say(c.msg...)
+		if got := d.Hear(); got != c.tag+" FAIL  " {
 			t.Errorf("%s: %q", name, got)
 		}
 		good++
-		d.say("RPC.HEALTH", "9")
-		if got := d.hear(); got != "9 GREEN  " {
+		d.Say("RPC.HEALTH", "9")
+		if got := d.Hear(); got != "9 GREEN  " {
 			t.Fatalf("%s: the connection is of no more use: %q", name, got)
 		}
 	}
@@ -334,21 +264,21 @@
 	b := start(t, nil)
 	d := b.dial(t)
 	for i := range maxOpen {
-		d.say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
+		d.Say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
 	}
-	d.say("RPC.CALL", "33", "read", fields, "x")
-	if got := d.hear(); got != "33 FAIL  " {
+	d.Say("RPC.CALL", "33", "read", fields, "x")
+	if got := d.Hear(); got != "33 FAIL  " {
 		t.Errorf("over the bound: %q", got)
 	}
-	d.say("RPC.CANCEL", "999")
-	d.say("RPC.CANCEL", "")
-	d.say("RPC.CANCEL", "2")
-	d.say("RPC.CALL", "3", "read", fields, "x")
-	if got := d.hear(); got != "3 FAIL  " {
+	d.Say("RPC.CANCEL", "999")
+	d.Say("RPC.CANCEL", "")
+	d.Say("RPC.CANCEL", "2")
+	d.Say("RPC.CALL", "3", "read", fields, "x")
+	if got := d.Hear(); got != "3 FAIL  " {
 		t.Errorf("open tag: %q", got)
 	}
-	d.say("RPC.CALL", "34", "read", fields, "x") // 2 left room
-	eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == maxOpen+1 && g == 1 })
+	d.Say("RPC.CALL", "34", "read", fields, "x") // 2 left room
+	standin.Eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == maxOpen+1 && g == 1 })
 	b.sink.mu.Lock()
 	list := append([]*exchange.Exchange(nil), b.sink.arrived...)
 	b.sink.mu.Unlock()
@@ -368,13 +298,13 @@
 		if i == maxOpen {
 			tag = 34
 		}
-		if got := d.hear(); got != fmt.Sprint(tag, " ACK  r") {
+		if got := d.Hear(); got != fmt.Sprint(tag, " ACK  r") {
 			t.Errorf("%q, want tag %d", got, tag)
 		}
 	}
-	d.say("RPC.CANCEL", "1") // crossed its answer
-	d.say("RPC.HEALTH", "50")
-	if got := d.hear(); got != "50 GREEN  " {
+	d.Say("RPC.CANCEL", "1") // crossed its answer
+	d.Say("RPC.HEALTH", "50")
+	if got := d.Hear(); got != "50 GREEN  " {
 		t.Errorf("%q", got)
 	}
 }
@@ -383,7 +313,7 @@
 // every point of a request's life, and of nothing else.
 func TestEndsLetGo(t *testing.T) {
 	var b *bench
-	flood := func(d *dispatcher) { // it reads nothing, and ever more is sent to it
+	flood := func(d *standin.Dispatcher) { // it reads nothing, and ever more is sent to it
 		for _, c := range b.all() {
 			if c.RemoteAddr().String() == d.LocalAddr().String() {
 				for c.Send(make([]byte, 2<<10)) {
@@ -392,14 +322,14 @@
 		}
 	}
 	for name, c := range map[string]struct {
-		do   func(*dispatcher)
+		do   func(*standin.Dispatcher)
 		want stream.End
 	}{
-		"reset":          {func(d *dispatcher) { d.SetLinger(0); d.Close() }, stream.PeerReset},
-		"inline command": {func(d *dispatcher) { d.Write([]byte("PING\r\n")) }, stream.BadFraming},
-		"endless bulk":   {func(d *dispatcher) { d.Write([]byte("*1\r\n$999999\r\n")) }, stream.TooLong},
-		"broken framing": {func(d *dispatcher) { d.Write([]byte("*1\r\n$1\r\nxx\r\n")) }, stream.BadFraming},
-		"half a message": {func(d *dispatcher) { d.Write([]byte("*5\r\n$8\r\nRPC.CA")) }, stream.ReadStalled},
+		"reset":          {func(d *standin.Dispatcher) { d.SetLinger(0); d.Close() }, stream.PeerReset},
+		"inline command": {func(d *standin.Dispatcher) { d.Write([]byte("PING\r\n")) }, stream.BadFraming},
+		"endless bulk":   {func(d *standin.Dispatcher) { d.Write([]byte("*1\r\n$999999\r\n")) }, stream.TooLong},
+		"broken framing": {func(d *standin.Dispatcher) { d.Write([]byte("*1\r\n$1\r\nxx\r\n")) }, stream.BadFraming},
+		"half a message": {func(d *standin.Dispatcher) { d.Write([]byte("*5\r\n$8\r\nRPC.CA")) }, stream.ReadStalled},
 		"takes nothing":  {flood, stream.Overflow},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -408,20 +338,20 @@
 				s.limits.Out = 4 << 10
 			})
 			other, d := b.dial(t), b.dial(t)
-			other.say("RPC.CALL", "1", "read", fields, "x")
-			eventually(t, "first arrival", func() bool { a, _ := b.sink.counts(); return a == 1 })
+			other.Say("RPC.CALL", "1", "read", fields, "x")
+			standin.Eventually(t, "first arrival", func() bool { a, _ := b.sink.counts(); return a == 1 })
 			kept := b.sink.last()
-			d.say("RPC.CALL", "1", "read", fields, "x") // answered and heard
-			d.say("RPC.CALL", "2", "read", fields, "x") // open
-			d.say("RPC.CALL", "3", "read", fields, "x") // cancelled
-			d.say("RPC.CANCEL", "3")
-			eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == 4 && g == 1 })
+			d.Say("RPC.CALL", "1", "read", fields, "x") // answered and heard
+			d.Say("RPC.CALL", "2", "read", fields, "x") // open
+			d.Say("RPC.CALL", "3", "read", fields, "x") // cancelled
+			d.Say("RPC.CANCEL", "3")
+			standin.Eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == 4 && g == 1 })
 			b.sink.arrived[1].Answer(exchange.Answer{Kind: exchange.Refused})
-			if got := d.hear(); got != "1 NAK  " {
+			if got := d.Hear(); got != "1 NAK  " {
 				t.Fatalf("%q", got)
 			}
 			c.do(d)
-			eventually(t, "letting go", func() bool { _, g := b.sink.counts(); return g == 2 })
+			standin.Eventually(t, "letting go", func() bool { _, g := b.sink.counts(); return g == 2 })
 			open := b.sink.arrived[2]
 			if open.Fate() != exchange.WasGone || b.sink.gone[1] != open {
 				t.Errorf("the open request is %v", open.Fate())
@@ -433,7 +363,7 @@
 				t.Errorf("no end by %v", c.want)
 			}
 			kept.Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
-			if got := other.hear(); got != "1 ACK  r" {
+			if got := other.Hear(); got != "1 ACK  r" {
 				t.Errorf("the other connection: %q", got)
 			}
 		})
@@ -451,12 +381,12 @@
 			b := start(t, nil)
 			d, other := b.dial(t), b.dial(t)
 			for i := range 3 {
-				d.say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
+				d.Say("RPC.CALL", fmt.Sprint(i+1), "read", fields, "x")
 			}
-			d.say("RPC.CANCEL", "2")
-			eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == 3 && g == 1 })
+			d.Say("RPC.CANCEL", "2")
+			standin.Eventually(t, "arrivals", func() bool { a, g := b.sink.counts(); return a == 3 && g == 1 })
 			b.sink.arrived[0].Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
-			if got := d.hear(); got != "1 ACK  r" {
+			if got := d.Hear(); got != "1 ACK  r" {
 				t.Fatalf("%q", got)
 			}
 			for _, c := range b.all() {
@@ -465,10 +395,10 @@
 					c.Shut(stream.PeerReset)
 				}
 			}
-			if got := d.hear(); got != "EOF" {
+			if got := d.Hear(); got != "EOF" {
 				t.Errorf("%q", got)
 			}
-			eventually(t, "letting go", func() bool { _, g := b.sink.counts(); return g == 2 })
+			standin.Eventually(t, "letting go", func() bool { _, g := b.sink.counts(); return g == 2 })
 			for i, want := range []exchange.Fate{exchange.WasServed, exchange.WasCancelled, exchange.WasGone} {
 				x := b.sink.arrived[i]
 				if x.Fate() != want || x.Answer(exchange.Answer{}) {
@@ -478,8 +408,8 @@
 			if b.Traffic.Ended[end].Load() != 1 {
 				t.Errorf("no end by %v", end)
 			}
-			other.say("RPC.HEALTH", "1")
-			if got := other.hear(); got != "1 GREEN  " {
+			other.Say("RPC.HEALTH", "1")
+			if got := other.Hear(); got != "1 GREEN  " {
 				t.Errorf("the other connection: %q", got)
 			}
 		})
@@ -491,18 +421,18 @@
 func TestHalfClosedIsStillAnswered(t *testing.T) {
 	b := start(t, nil)
 	d := b.dial(t)
-	d.say("RPC.CALL", "1", "read", fields, "x")
+	d.Say("RPC.CALL", "1", "read", fields, "x")
 	d.CloseWrite()
-	eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil })
 	time.Sleep(20 * time.Millisecond)
 	b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
-	if got := d.hear(); got != "1 ACK  r" {
+	if got := d.Hear(); got != "1 ACK  r" {
 		t.Errorf("%q", got)
 	}
-	if got := d.hear(); got != "EOF" {
+	if got := d.Hear(); got != "EOF" {
 		t.Errorf("%q", got)
 	}
-	eventually(t, "end", func() bool { return b.Traffic.Ended[stream.PeerClosed].Load() == 1 })
+	standin.Eventually(t, "end", func() bool { return b.Traffic.Ended[stream.PeerClosed].Load() == 1 })
 }
 
 // An idle connection is asked to close, and closed if it doesn't; one that
@@ -510,12 +440,12 @@
 func TestIdle(t *testing.T) {
 	b := start(t, func(s *Server) { s.finWait = 50 * time.Millisecond })
 	d, busy := b.dial(t), b.dial(t)
-	busy.say("RPC.CALL", "1", "read", fields, "x")
+	busy.Say("RPC.CALL", "1", "read", fields, "x")
 	b.CloseIdle(40 * time.Millisecond)
-	if got := d.hear(); got != "0 FIN" {
+	if got := d.Hear(); got != "0 FIN" {
 		t.Errorf("%q", got)
 	}
-	if got := d.hear(); got != "EOF" {
+	if got := d.Hear(); got != "EOF" {
 		t.Errorf("%q", got)
 	}
 	if n := b.Traffic.Ended[stream.IdleClosed].Load(); n != 1 {
@@ -523,7 +453,7 @@
 	}
 	b.CloseIdle(0) // back to the longest
 	b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
-	if got := busy.hear(); got != "1 ACK  r" {
+	if got := busy.Hear(); got != "1 ACK  r" {
 		t.Errorf("%q", got)
 	}
 }
@@ -533,10 +463,10 @@
 func TestPauseIsExcused(t *testing.T) {
 	b := start(t, func(s *Server) { s.partialSoft = 10 * time.Second })
 	d := b.dial(t)
-	half := words("RPC.HEALTH", "1", "")
+	half := standin.Words("RPC.HEALTH", "1", "")
 	d.Write(half[:9])
 	var c *client
-	eventually(t, "half a message", func() bool {
+	standin.Eventually(t, "half a message", func() bool {
 		list := b.all()
 		if len(list) == 1 {
 			c = list[0]
@@ -550,11 +480,11 @@
 		t.Fatalf("ended by %v", c.Ended())
 	}
 	d.Write(half[9:])
-	if got := d.hear(); got != "1 GREEN  " {
+	if got := d.Hear(); got != "1 GREEN  " {
 		t.Errorf("%q", got)
 	}
 	b.sweepOnce(later.Add(time.Minute)) // idle for a minute that was not excused
-	if got := d.hear(); got != "0 FIN" {
+	if got := d.Hear(); got != "0 FIN" {
 		t.Errorf("%q", got)
 	}
 }
@@ -564,23 +494,22 @@
 func TestLeaving(t *testing.T) {
 	b := start(t, nil)
 	d := b.dial(t)
-	d.say("RPC.CALL", "1", "read", fields, "x")
-	eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	d.Say("RPC.CALL", "1", "read", fields, "x")
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil })
 	b.StopListening()
 	b.Fin()
 	b.Fin()
-	if got := d.hear(); got != "0 FIN" {
+	if got := d.Hear(); got != "0 FIN" {
 		t.Errorf("%q", got)
 	}
 	time.Sleep(20 * time.Millisecond)
 	b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: []byte("r")})
-	if got := d.hear(); got != "1 ACK  r" {
+	if got := d.Hear(); got != "1 ACK  r" {
 		t.Errorf("%q", got)
 	}
-	eventually(t, "flush", b.Flushed)
-	if c, err := net.Dial("tcp", b.addr); err == nil {
-		c.Close()
-		t.Error("still listening")
+	standin.Eventually(t, "flush", b.Flushed)
+	if err := b.listen.(*net.TCPListener).SetDeadline(time.Now()); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("still listening: %v", err)
 	}
 }
 
@@ -590,25 +519,25 @@
 func TestRoomForConnections(t *testing.T) {
 	b := start(t, func(s *Server) { s.cfg.MaxConns = 2 })
 	busy, idle := b.dial(t), b.dial(t)
-	busy.say("RPC.CALL", "1", "read", fields, "x")
-	eventually(t, "arrival", func() bool { return b.sink.last() != nil && b.Conns() == 2 })
+	busy.Say("RPC.CALL", "1", "read", fields, "x")
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil && b.Conns() == 2 })
 	third := b.dial(t)
-	third.say("RPC.CALL", "1", "read", fields, "x")
-	if got := idle.hear(); got != "EOF" {
+	third.Say("RPC.CALL", "1", "read", fields, "x")
+	if got := idle.Hear(); got != "EOF" {
 		t.Errorf("the idle one hears %q", got)
 	}
-	eventually(t, "second arrival", func() bool { a, _ := b.sink.counts(); return a == 2 })
+	standin.Eventually(t, "second arrival", func() bool { a, _ := b.sink.counts(); return a == 2 })
 	fourth := b.dial(t)
-	fourth.say("RPC.HEALTH", "1")
+	fourth.Say("RPC.HEALTH", "1")
 	time.Sleep(30 * time.Millisecond)
 	if b.Conns() != 2 {
 		t.Errorf("%d connections", b.Conns())
 	}
 	b.sink.arrived[0].Answer(exchange.Answer{Kind: exchange.Failed})
-	if got := busy.hear(); got != "1 FAIL  " {
+	if got := busy.Hear(); got != "1 FAIL  " {
 		t.Errorf("%q", got)
 	}
-	if got := fourth.hear(); got != "1 GREEN  " {
+	if got := fourth.Hear(); got != "1 GREEN  " {
 		t.Errorf("%q", got)
 	}
 	b.sink.arrived[1].Answer(exchange.Answer{Kind: exchange.Failed})
@@ -632,11 +561,7 @@
 // would try at once and take the whole core, and to give up would end the node.
 func TestNoDescriptors(t *testing.T) {
 	b := start(t, nil)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
+	ln := standin.Listen(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l := &listener{Listener: &starved{ln, 3}, s: b.Server, ctx: ctx}
@@ -674,11 +599,10 @@
 	const conns = 200
 	for i := range conns {
 		d := b.dial(t)
-		d.say("RPC.CALL", "1", "read", fields, strings.Repeat("x", 2000))
-		eventually(t, "arrival", func() bool { a, _ := b.sink.counts(); return a == i+1 })
+		d.Say("RPC.CALL", "1", "read", fields, strings.Repeat("x", 2000))
+		standin.Eventually(t, "arrival", func() bool { a, _ := b.sink.counts(); return a == i+1 })
 		b.sink.last().Answer(exchange.Answer{Kind: exchange.Served, Body: make([]byte, 4096)})
-		d.hear()
-		d.rd = nil
+		d.Hear()
 	}
 	b.sink.mu.Lock()
 	b.sink.arrived = nil
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -14,18 +14,10 @@
 	"testing"
 	"time"
 
+	"robinmast/internal/standin"
 	"robinmast/internal/stream"
 )
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not in time: %s", what)
-		}
-	}
-}
-
 func run(t *testing.T, addr string) *Reporter {
 	t.Helper()
 	r := New(addr, "n3", slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -36,7 +28,7 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
-		eventually(t, "every connection's end", func() bool {
+		standin.Eventually(t, "every connection's end", func() bool {
 			ended := int64(0)
 			for _, e := range stream.Ends() {
 				ended += r.Traffic.Ended[e].Load()
@@ -59,10 +51,10 @@
 	}))
 	defer srv.Close()
 	r := run(t, strings.TrimPrefix(srv.URL, "http://"))
-	eventually(t, "three reports", func() bool { return r.Sent.Load() >= 3 })
+	standin.Eventually(t, "three reports", func() bool { return r.Sent.Load() >= 3 })
 	r.SetUp(true) // no change
 	r.SetUp(false)
-	eventually(t, "the change", func() bool {
+	standin.Eventually(t, "the change", func() bool {
 		mu.Lock()
 		defer mu.Unlock()
 		return got[len(got)-1] == `PUT /members/n3 15 {"phase":"OUT"}`
@@ -88,11 +80,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
+			ln := standin.Listen(t)
 			var well atomic.Bool
 			go func() {
 				for {
@@ -119,7 +107,7 @@
 				}
 			}()
 			r := run(t, ln.Addr().String())
-			eventually(t, "failure", func() bool { return r.Failed.Load() >= 2 })
+			standin.Eventually(t, "failure", func() bool { return r.Failed.Load() >= 2 })
 			began := time.Now()
 			r.SetUp(false)
 			r.SetUp(true)
@@ -128,11 +116,22 @@
 			}
 			sent := r.Sent.Load()
 			well.Store(true)
-			eventually(t, "recovery", func() bool { return r.Sent.Load() > sent+1 })
+			standin.Eventually(t, "recovery", func() bool { return r.Sent.Load() > sent+1 })
 		})
 	}
 }
 
+// A service that is away is asked again until it is there.
+func TestAway(t *testing.T) {
+	addr, open := standin.Away(t)
+	r := run(t, addr)
+	standin.Eventually(t, "refused reports", func() bool { return r.Traffic.Ended[stream.DialRefused].Load() >= 3 })
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })}
+	go srv.Serve(open())
+	defer srv.Close()
+	standin.Eventually(t, "a report", func() bool { return r.Sent.Load() > 0 })
+}
+
 // Two tries in a row may fail, by time-out too, before an entry would lapse.
 func TestPeriodLeavesRoom(t *testing.T) {
 	const lapse = 3 * time.Second
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -1,3 +1,7 @@
+// This file owns the module's Host: it carries out what the module says, within
+// the loop. It must never weigh a request, and never call the module back: what
+// follows from an action is fed in the next batch.
+
 package node
 
 import (
@@ -8,9 +12,7 @@
 	"robinmast/rules"
 )
 
-// This file carries out what the module says; rules.Host is implemented by the
-// unexported host so that only the module can reach it. All of it runs in the loop.
-
+// host is unexported, so that only the module can reach it.
 type host struct{ *Node }
 
 var _ rules.Host = host{}
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -1,3 +1,7 @@
+// This file owns what links the tries of a request: keys, and the results that
+// repeats are served from. It must never decide what is kept or for how long;
+// the module says so.
+
 package node
 
 import (
@@ -9,9 +13,6 @@
 	"robinmast/rules"
 )
 
-// This file keeps what links the tries of a request: keys, and the results that
-// repeats are served from. The module says what is kept and for how long.
-
 // lateRead is how long an entry is still found after it expired, for a repeat
 // that came in time and was read late.
 const lateRead = 10 * time.Second
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"robinmast/internal/exchange"
+	"robinmast/internal/standin"
 	"robinmast/internal/stream"
 )
 
@@ -57,15 +58,6 @@
 	return append([]finish(nil), r.done...)
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("not in time: %s", what)
-		}
-	}
-}
-
 // workers stands in for the worker pool, from the published protocol: the test
 // plays its part line by line.
 type workers struct {
@@ -77,10 +69,7 @@
 
 func start(t *testing.T) (*Link, *recorder, *workers) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := standin.Listen(t)
 	sink := &recorder{}
 	l := New(ln.Addr().String(), sink, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	l.quiet = 300 * time.Millisecond
@@ -91,7 +80,6 @@
 	t.Cleanup(func() {
 		cancel()
 		<-done
-		ln.Close()
 		if w.c != nil {
 			w.c.Close()
 		}
@@ -196,7 +184,7 @@
 	if len(sink.bound) != 1 || !sink.bound[0] || sink.since != 1234500*time.Microsecond {
 		t.Errorf("bound %v since %v", sink.bound, sink.since)
 	}
-	eventually(t, "gauges", func() bool { sink.mu.Lock(); defer sink.mu.Unlock(); return len(sink.gauges) == 4 })
+	standin.Eventually(t, "gauges", func() bool { sink.mu.Lock(); defer sink.mu.Unlock(); return len(sink.gauges) == 4 })
 	ends := map[string]End{"b": Error, "c": Cancelled, "d": Moot}
 	for _, id := range []string{"b", "c", "d"} {
 		l.Spawn(request(id, true))
@@ -213,7 +201,7 @@
 		`{"op":"finished","seq":3,"id":"c","end":"cancelled","ms":8}`,
 		`{"op":"finished","seq":4,"id":"d","end":"unknown","ms":0}`,
 		`{"op":"finished","seq":5,"id":"a","end":"complete","ms":9.25,"body":"`+result+`"}`)
-	eventually(t, "ends", func() bool { return len(sink.finished()) == 4 })
+	standin.Eventually(t, "ends", func() bool { return len(sink.finished()) == 4 })
 	for _, f := range sink.finished() {
 		if f.x == a {
 			if f.end != Complete || f.body != strings.Repeat("\x00\xfe", 2000) || f.took != 9250*time.Microsecond {
@@ -236,9 +224,9 @@
 		w.expect(spawnLine(x.Txn))
 	}
 	w.say(`{"op":"chatter","seq":1,"end":""}`)
-	eventually(t, "first notice", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.last == 1 })
+	standin.Eventually(t, "first notice", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.last == 1 })
 	w.c.Close()
-	eventually(t, "loss", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return !l.ready })
+	standin.Eventually(t, "loss", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return !l.ready })
 	l.Spawn(c)
 	d := request("d", true)
 	l.Spawn(d)
@@ -304,7 +292,7 @@
 		`{"op":"unknown","end":"spawn","id":"nobody"}`, `{"op":"unknown","end":"suspend","id":"a"}`,
 		`{"op":"unknown","end":"spawn","id":"b"}`,
 		`{"op":"finished","seq":2,"id":"a","end":"complete","ms":-5,"body":"cg=="}`)
-	eventually(t, "ends", func() bool { return len(sink.finished()) == 2 })
+	standin.Eventually(t, "ends", func() bool { return len(sink.finished()) == 2 })
 	got := sink.finished()
 	if got[0].x != b || got[0].end != Error { // not carried out: it has no run
 		t.Errorf("b ended: %+v", got[0])
@@ -332,7 +320,7 @@
 		t.Run(name, func(t *testing.T) {
 			l, _, w := start(t)
 			w.open(1, 0)
-			eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
+			standin.Eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
 			c.do(w)
 			w.open(2, 0)
 			if l.Traffic.Ended[c.want].Load() != 1 {
@@ -344,28 +332,19 @@
 
 // The worker pool may be away or come up long after the node.
 func TestPoolAway(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := ln.Addr().String()
-	ln.Close()
+	addr, open := standin.Away(t)
 	l := New(addr, &recorder{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { l.Run(ctx); close(done) }()
-	eventually(t, "tries", func() bool { return l.Traffic.Ended[stream.DialRefused].Load() >= 2 })
-	if ln, err = net.Listen("tcp", addr); err != nil {
-		t.Skip("the port was taken meanwhile")
-	}
-	w := &workers{t: t, ln: ln}
+	standin.Eventually(t, "tries", func() bool { return l.Traffic.Ended[stream.DialRefused].Load() >= 2 })
+	w := &workers{t: t, ln: open()}
 	w.open(1, 0)
 	l.Poll()
-	eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
+	standin.Eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
 	cancel()
 	<-done
 	w.c.Close()
-	ln.Close()
 }
 
 // Any line at all leaves the link's books in order.
--- a/internal/stream/end.go
+++ b/internal/stream/end.go
@@ -1,3 +1,7 @@
+// This file owns End: the ways in which a connection can end, how errors map to
+// them, and the one place where they map to the module's outcomes. It must never
+// end a connection itself.
+
 package stream
 
 import (
--- a/internal/stream/frame.go
+++ b/internal/stream/frame.go
@@ -1,3 +1,6 @@
+// This file owns framing: where messages end, and which bytes are none. It must
+// never keep bytes, nor let through what a parser behind it would choke on.
+
 package stream
 
 import "bytes"
--- a/internal/stream/ring.go
+++ b/internal/stream/ring.go
@@ -1,3 +1,6 @@
+// This file owns the ring, the byte queue of one direction of a connection. It
+// must never lock, block or look at what the bytes mean.
+
 package stream
 
 // smallRing is the size that a ring starts with and shrinks back to.
