Replace a silent worker pool link after two seconds instead of ten

A link that hangs without closing kept results back for ten seconds, longer than any aim. Polls go out forty times a second, so two seconds of silence are far beyond what a link that works shows; a new link takes the replay and repeats no run. A bind that went astray is said again after fifteen seconds. Harm: a pool that stands still for long sees a new link every two seconds.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -30,7 +30,8 @@
 	dialTimeout = time.Second            // per try
 	backoffMin  = 10 * time.Millisecond  // between tries to connect
 	backoffMax  = 500 * time.Millisecond // the same after many
-	quietLimit  = 10 * time.Second       // without a line while polls are out, the link is replaced
+	quietLimit  = 2 * time.Second        // without a line while polls are out, the link is replaced
+	boundLimit  = 15 * time.Second       // the same while the worker pool is awaited
 	complainGap = 2 * time.Second        // between log lines about bad input
 	downGap     = 5 * time.Second        // between log lines while the worker pool is away
 )
@@ -83,10 +84,11 @@
 	Counters Counters
 	Traffic  stream.Traffic
 
-	addr  string
-	sink  Sink
-	log   *slog.Logger
-	quiet time.Duration // quietLimit, but in tests
+	addr string
+	sink Sink
+	log  *slog.Logger
+
+	quiet, await time.Duration // quietLimit and boundLimit, but in tests
 
 	mu    sync.Mutex
 	conn  *stream.Conn // nil while there is no link
@@ -102,7 +104,7 @@
 
 // New returns a link to the worker pool at addr; Run brings it up.
 func New(addr string, sink Sink, log *slog.Logger) *Link {
-	return &Link{addr: addr, sink: sink, log: log, quiet: quietLimit, runs: map[string]*run{}}
+	return &Link{addr: addr, sink: sink, log: log, quiet: quietLimit, await: boundLimit, runs: map[string]*run{}}
 }
 
 // command is what the node sends.
@@ -230,7 +232,7 @@
 		return l.Traffic.NeverOpened(err), fmt.Errorf("dial worker pool: %w", err)
 	}
 	c := stream.New(raw, &stream.Lines{Longest: longestLine},
-		stream.Limits{In: inLimit, Out: outLimit, Stall: l.quiet}, &l.Traffic, nil)
+		stream.Limits{In: inLimit, Out: outLimit, Stall: l.await}, &l.Traffic, nil)
 	stop := context.AfterFunc(ctx, func() { c.Shut(stream.LeftByUs) })
 	defer stop()
 	l.mu.Lock()
@@ -252,10 +254,14 @@
 	lines := bufio.NewScanner(c)
 	lines.Buffer(make([]byte, 0, 8<<10), longestLine+2)
 	for {
+		// A worker pool that is up answers forty polls a second. A new link does no
+		// harm, whatever the silence comes from, and brings what was missed.
+		wait := l.await
 		if l.isReady() {
-			if err := c.SetReadDeadline(time.Now().Add(l.quiet)); err != nil {
-				return fmt.Errorf("bound the wait for a line: %w", err)
-			}
+			wait = l.quiet
+		}
+		if err := c.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			return fmt.Errorf("bound the wait for a line: %w", err)
 		}
 		if !lines.Scan() {
 			break
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -72,7 +72,7 @@
 	ln := standin.Listen(t)
 	sink := &recorder{}
 	l := New(ln.Addr().String(), sink, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	l.quiet = 300 * time.Millisecond
+	l.quiet, l.await = 300*time.Millisecond, 900*time.Millisecond
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { l.Run(ctx); close(done) }()
@@ -330,6 +330,17 @@
 	}
 }
 
+// A bind that went astray is said again on a new link.
+func TestBoundNeverCame(t *testing.T) {
+	l, _, w := start(t)
+	w.accept(0)
+	w.open(2, 0)
+	standin.Eventually(t, "link", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.ready })
+	if l.Traffic.Ended[stream.ReadStalled].Load() != 1 {
+		t.Error("the first link did not end as stalled")
+	}
+}
+
 // The worker pool may be away or come up long after the node.
 func TestPoolAway(t *testing.T) {
 	addr, open := standin.Away(t)
