Let the module take a clock below zero, as its interface promises

The bucket counts unsigned now, the door begins at the present.

No harm seen or expected: clocks above zero take the same way as ever.

--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -269,7 +269,8 @@
 			if i == 7 { // breaks off with everything open
 				d.call(1, 500, "")
 				d.call(2, 500, "")
-				time.Sleep(20 * time.Millisecond)
+				d.Say("RPC.HEALTH", "3", "")
+				d.Hear() // so both were read
 				d.SetLinger(0)
 				d.Close()
 				return
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -316,7 +316,6 @@
 	}
 	switch string(cmd.Args[0]) {
 	case "RPC.CALL":
-		s.Counters.Calls.Add(1)
 		c.call(tag, cmd.Args)
 	case "RPC.CANCEL":
 		s.Counters.Cancels.Add(1)
@@ -368,11 +367,13 @@
 		if gone { // the connection ended before this was read
 			return
 		}
+		c.s.Counters.Calls.Add(1)
 		c.s.Counters.Malformed.Add(1)
 		c.s.complain("request not understood", err)
 		exchange.New(c.s.ledger, rejecter{c, tagText}, tag, call).Answer(exchange.Answer{Kind: exchange.Failed})
 		return
 	}
+	c.s.Counters.Calls.Add(1)
 	x := exchange.New(c.s.ledger, c, tag, call)
 	c.open[tag] = x
 	c.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,11 +202,9 @@
 	}
 }
 
-// epoch keeps the module's clock above 0 even if the worker pool came up long
-// before this process: some of its arithmetic takes no negative times.
-const epoch = 24 * time.Hour
-
-func (n *Node) clock() time.Duration { return epoch + time.Since(n.began) }
+// clock is monotonic. What came before this process, like the start of the
+// worker pool, lies below zero.
+func (n *Node) clock() time.Duration { return time.Since(n.began) }
 
 func (n *Node) tick() { n.now = n.clock() }
 
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -170,7 +170,7 @@
 	called     pace                 // call latency
 	callsShort bool                 // a call had to wait or was left out since the last step
 	callTime   [callBuckets]float64 // seconds of calls held, per bucket
-	callBucket int64
+	callBucket uint64               // unsigned: the clock may be below zero, an index may not
 	callSeen   time.Duration
 
 	wakeAt, stepAt, sayAt time.Duration
@@ -220,7 +220,7 @@
 		sent: make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
 		lastFrom: map[uint32]time.Duration{},
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
-		idleSaid: set.KeepaliveMax,
+		idleSaid: set.KeepaliveMax, door: now, // a clock below zero is no swamp
 	}
 	host.SetHealth(true, true)
 	m.wake()
@@ -669,7 +669,7 @@
 		return
 	}
 	for m.callSeen < m.now {
-		if b := int64(m.callSeen / width); b != m.callBucket {
+		if b := uint64(m.callSeen / width); b != m.callBucket {
 			m.callBucket = b
 			m.callTime[b%callBuckets] = 0
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -891,3 +891,46 @@
 		}
 	}
 }
+
+// The clock's zero means nothing: a host may count from any time, so that a node
+// whose worker pool came up before it may begin far below zero. What is decided
+// must be the same.
+func TestClockBelowZero(t *testing.T) {
+	day := func(from time.Duration) []string {
+		b := &bed{t: t, last: map[string]bool{}, now: from}
+		s := settings()
+		s.Below, s.KeepaliveMax = BelowShared, 30*time.Second
+		m, err := New(b.now, s, 7, b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := RequestID(0)
+		for i := range 4000 {
+			b.now += 5 * ms
+			if i%40 == 0 {
+				id++
+				m.Arrive(b.now, Request{ID: id, Class: 1, Patience: 7 * time.Second, KB: 10, Caller: uint32(i)})
+			}
+			if i%40 == 10 {
+				m.NeedsCall(b.now, id)
+			}
+			if i%40 == 20 {
+				m.Called(b.now, id, OK, 50*ms)
+			}
+			if i%40 == 30 {
+				m.Ended(b.now, id, OK, 150*ms)
+			}
+			if b.now >= b.wake {
+				m.Woke(b.now, 1, []float64{0.5, 1})
+			}
+			m.Settle(b.now)
+		}
+		return b.acts
+	}
+	want := day(50 * time.Second)
+	for _, from := range []time.Duration{-10 * time.Second, -time.Hour, -1} {
+		if got := day(from); !reflect.DeepEqual(got, want) {
+			t.Errorf("from %v: %d actions, want %d", from, len(got), len(want))
+		}
+	}
+}
