Close connections for room only while nothing is open on them; split the front's file

Found by reading: between the look at a connection and its end a request could have been taken from it and let go with it. Ending one now first bars it from taking any; the dispatcher sends again what crossed. Half a message no longer holds a place for ten seconds while connections are short.

--- /dev/null
+++ b/internal/front/client.go
@@ -0,0 +1,277 @@
+// This file owns one dispatcher's connection: its messages, the requests open on
+// it under their tags, and its answers. It must never wait, neither for the loop
+// nor for the network.
+
+package front
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/stream"
+	"robinmast/rules"
+)
+
+// client is one dispatcher's connection.
+type client struct {
+	*stream.Conn
+	s *Server
+
+	mu   sync.Mutex
+	open map[uint64]*exchange.Exchange
+	used time.Time // when it last carried something
+	fin  time.Time // when it was told that no new request may come
+}
+
+// Write takes what redcon itself would send, which is nothing but replies to
+// broken framing; those connections end without one.
+func (c *client) Write(p []byte) (int, error) { return len(p), nil }
+
+// Close is called by redcon: when its reader has ended, and for every
+// connection when the listener closes. Only the first means anything here. A
+// dispatcher that closed its side in order is still sent what it is owed.
+func (c *client) Close() error {
+	c.mu.Lock()
+	end, open := c.ReadEnd(), len(c.open)
+	c.mu.Unlock()
+	switch {
+	case end == stream.StillOpen:
+		return nil
+	case end.Outcome() == rules.OK:
+		if open == 0 {
+			c.Finish(end)
+		}
+		return nil
+	}
+	if end == stream.BadFraming || end == stream.TooLong {
+		c.s.complain("broken input from a dispatcher", nil, "end", end.String(), "from", c.RemoteAddr().String())
+	}
+	c.Shut(end)
+	return nil
+}
+
+// retire ends the connection if nothing is open on it. What is read from it
+// meanwhile is not taken: the dispatcher sends again what crossed the close.
+func (c *client) retire(end stream.End) bool {
+	c.mu.Lock()
+	if len(c.open) > 0 {
+		c.mu.Unlock()
+		return false
+	}
+	c.open = nil
+	c.mu.Unlock()
+	c.Shut(end)
+	return true
+}
+
+// ended lets go of what was open when the connection ended.
+func (c *client) ended(end stream.End) {
+	c.mu.Lock()
+	open := c.open
+	c.open = nil
+	c.mu.Unlock()
+	for _, x := range open {
+		if x.Abandon(exchange.WasGone) {
+			c.s.sink.Gone(x)
+		}
+	}
+	c.s.mu.Lock()
+	delete(c.s.clients, c)
+	c.s.mu.Unlock()
+	select {
+	case c.s.room <- struct{}{}:
+	default:
+	}
+	if len(open) > 0 || end == stream.Overflow || end == stream.ReadStalled || end == stream.WriteStalled {
+		c.s.complain("dispatcher's connection ended badly", nil, "end", end.String(), "open", len(open))
+	}
+}
+
+// command takes one message; cmd lives only during the call.
+func (s *Server) command(conn redcon.Conn, cmd redcon.Command) {
+	c, ok := conn.Context().(*client)
+	if !ok || len(cmd.Args) == 0 {
+		return
+	}
+	var tag []byte
+	if len(cmd.Args) > 1 {
+		tag = cmd.Args[1]
+	}
+	switch string(cmd.Args[0]) {
+	case "RPC.CALL":
+		c.call(tag, cmd.Args)
+	case "RPC.CANCEL":
+		s.Counters.Cancels.Add(1)
+		c.cancel(tag)
+	case "RPC.HEALTH":
+		s.Counters.Health.Add(1)
+		c.health(tag)
+	default:
+		s.Counters.Unknown.Add(1)
+		s.complain("unknown command", fmt.Errorf("%q", clip(cmd.Args[0])))
+		c.reject(tag)
+	}
+}
+
+// reject answers what could not be read as a request: it fails, as nobody can
+// tell what its dispatcher takes from a refusal.
+func (c *client) reject(tag []byte) {
+	if _, err := parseTag(tag); err != nil {
+		tag = []byte("0")
+	}
+	c.Send(message(tag, "FAIL", nil, nil))
+}
+
+func (c *client) call(tagText []byte, args [][]byte) {
+	tag, err := parseTag(tagText)
+	var call exchange.Call
+	if err == nil {
+		switch len(args) {
+		case 4:
+			call, err = c.s.lanes.parseCall(args[2], args[3], nil)
+		case 5:
+			call, err = c.s.lanes.parseCall(args[2], args[3], args[4])
+		default:
+			err = fmt.Errorf("a request of %d parts", len(args))
+		}
+	}
+	c.mu.Lock()
+	gone := c.open == nil
+	if err == nil && !gone {
+		if len(c.open) >= maxOpen {
+			err = errors.New("more requests open than allowed")
+		} else if c.open[tag] != nil {
+			err = errors.New("a tag that is open")
+		}
+	}
+	c.used = time.Now()
+	if err != nil || gone {
+		c.mu.Unlock()
+		if gone { // the connection ended before this was read
+			return
+		}
+		c.s.Counters.Calls.Add(1)
+		c.s.Counters.Malformed.Add(1)
+		c.s.complain("request not understood", err)
+		exchange.New(c.s.ledger, rejecter{c, tagText}, tag, call).Answer(exchange.Answer{Kind: exchange.Failed})
+		return
+	}
+	c.s.Counters.Calls.Add(1)
+	x := exchange.New(c.s.ledger, c, tag, call)
+	c.open[tag] = x
+	c.mu.Unlock()
+	c.s.sink.Arrived(x)
+}
+
+// rejecter answers a request that never became open.
+type rejecter struct {
+	c   *client
+	tag []byte
+}
+
+func (r rejecter) Reply(uint64, exchange.Answer) { r.c.reject(r.tag) }
+
+func (c *client) cancel(tagText []byte) {
+	tag, _ := parseTag(tagText) // a bad tag is as unknown as any other
+	c.mu.Lock()
+	x := c.open[tag]
+	if x != nil {
+		delete(c.open, tag)
+	}
+	c.used = time.Now()
+	c.mu.Unlock()
+	if x == nil { // its answer and the cancel crossed, or it never was
+		c.s.Counters.Unmatched.Add(1)
+		return
+	}
+	if x.Abandon(exchange.WasCancelled) {
+		c.s.sink.Gone(x)
+	}
+}
+
+func (c *client) health(tag []byte) {
+	c.mu.Lock()
+	c.used = time.Now()
+	c.mu.Unlock()
+	if _, err := parseTag(tag); err != nil {
+		c.reject(tag)
+		return
+	}
+	word := "RED"
+	if c.s.good.Load() {
+		word = "GREEN"
+	}
+	c.Send(message(tag, word, c.s.fields(nil, exchange.Answer{}), nil))
+}
+
+// fields writes an answer's fields.
+func (s *Server) fields(b []byte, a exchange.Answer) []byte {
+	if f := s.feedback.Load(); f != nil {
+		b = append(b, *f...)
+	}
+	add := func(name string) {
+		if len(b) > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, name...)
+	}
+	if a.RetryAfter > 0 {
+		add("later=")
+		b = strconv.AppendInt(b, max(a.RetryAfter.Milliseconds(), 1), 10)
+	}
+	if a.Last {
+		add("giveup=1")
+	}
+	return b
+}
+
+// message encodes an answer.
+func message(tag []byte, word string, fields, body []byte) []byte {
+	b := make([]byte, 0, 64+len(fields)+len(body))
+	b = redcon.AppendArray(b, 4)
+	b = redcon.AppendBulk(b, tag)
+	b = redcon.AppendBulkString(b, word)
+	b = redcon.AppendBulk(b, fields)
+	return redcon.AppendBulk(b, body)
+}
+
+// Reply sends a final answer; the exchange sees to it that there is one.
+func (c *client) Reply(tag uint64, a exchange.Answer) {
+	word := "FAIL"
+	switch a.Kind {
+	case exchange.Served:
+		word = "ACK"
+	case exchange.Refused:
+		word = "NAK"
+	}
+	sent := c.Send(message(strconv.AppendUint(nil, tag, 10), word, c.s.fields(nil, a), a.Body))
+	c.mu.Lock()
+	delete(c.open, tag)
+	c.used = time.Now()
+	over := sent && len(c.open) == 0 && c.ReadEnd() == stream.PeerClosed
+	c.mu.Unlock()
+	if over { // it had closed its side; that was the last answer it waited for
+		c.Finish(stream.PeerClosed)
+	}
+}
+
+// sayFin asks the dispatcher to send no new request here and to close.
+func (c *client) sayFin() {
+	c.mu.Lock()
+	first := c.fin.IsZero()
+	if first {
+		c.fin = time.Now()
+	}
+	c.mu.Unlock()
+	if first {
+		c.Send(finMessage)
+	}
+}
+
+var finMessage = redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "0"), "FIN")
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,7 +1,8 @@
 // Package front owns the connections to dispatchers: it accepts them, reads
 // requests, cancels and health checks with redcon, and sends answers through
 // each connection's out ring. It must never decide what becomes of a request,
-// never run one, and never keep anything of one beyond its connection.
+// never run one, and never keep anything of one beyond its connection. This file
+// has what concerns all connections: accepting, idle ones, leaving.
 package front
 
 import (
@@ -31,6 +32,7 @@
 	outLimit     = 160 << 10              // out ring: the answers of all open requests
 	sweepEvery   = 50 * time.Millisecond  // idle and stalled connections are looked for
 	pauseOver    = 500 * time.Millisecond // a sweep this late means that the process stood still
+	roomPartial  = time.Second            // for half a message, while connections are short
 	finWait      = 2 * time.Second        // for a dispatcher to close after `0 FIN`
 	partialLimit = 10 * time.Second       // for the rest of a message, if nothing is open
 	partialMost  = 30 * time.Second       // and in any case
@@ -183,50 +185,29 @@
 }
 
 // makeRoom closes the connection that has carried nothing for longest, if one
-// has nothing open. A connection that the machine has accepted and the node has
+// has nothing open; one with half a message only if there is no other. A connection that the machine has accepted and the node has
 // not may carry requests already, which nobody would answer.
 func (s *Server) makeRoom() bool {
-	var oldest *client
-	var used time.Time
+	var best *client
+	var bestUsed time.Time
+	var bestPart bool
+	now := time.Now()
 	for _, c := range s.all() {
 		c.mu.Lock()
-		free, at := len(c.open) == 0, c.used
+		free, used := len(c.open) == 0, c.used
 		c.mu.Unlock()
-		if free && c.Partial(time.Now()) == 0 && c.Unsent() == 0 && (oldest == nil || at.Before(used)) {
-			oldest, used = c, at
+		part := c.Partial(now) > 0
+		if !free || c.Unsent() > 0 || part && now.Sub(used) < roomPartial {
+			continue
+		}
+		if best == nil || part != bestPart && bestPart || part == bestPart && used.Before(bestUsed) {
+			best, bestUsed, bestPart = c, used, part
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	oldest.Shut(stream.IdleClosed)
-	return true
-}
-
-// complain logs bad input at a bounded rate.
-func (s *Server) complain(what string, err error, more ...any) {
-	now, last := time.Now().UnixNano(), s.complained.Load()
-	if now-last < int64(complainGap) || !s.complained.CompareAndSwap(last, now) {
-		s.muted.Add(1)
-		return
-	}
-	if err != nil {
-		more = append(more, "err", err)
-	}
-	s.cfg.Log.Warn(what, append(more, "muted", s.muted.Swap(0))...)
-}
-
-// client is one dispatcher's connection.
-type client struct {
-	*stream.Conn
-	s *Server
-
-	mu   sync.Mutex
-	open map[uint64]*exchange.Exchange
-	used time.Time // when it last carried something
-	fin  time.Time // when it was told that no new request may come
+	return best != nil && best.retire(stream.IdleClosed)
 }
 
+// wrap makes an accepted connection a dispatcher's.
 func (s *Server) wrap(c net.Conn) *client {
 	cl := &client{s: s, open: map[uint64]*exchange.Exchange{}, used: time.Now()}
 	cl.Conn = stream.New(c, &stream.RESP{}, s.limits, &s.Traffic, cl.ended)
@@ -243,54 +224,17 @@
 	return cl
 }
 
-// Write takes what redcon itself would send, which is nothing but replies to
-// broken framing; those connections end without one.
-func (c *client) Write(p []byte) (int, error) { return len(p), nil }
-
-// Close is called by redcon: when its reader has ended, and for every
-// connection when the listener closes. Only the first means anything here. A
-// dispatcher that closed its side in order is still sent what it is owed.
-func (c *client) Close() error {
-	c.mu.Lock()
-	end, open := c.ReadEnd(), len(c.open)
-	c.mu.Unlock()
-	switch {
-	case end == stream.StillOpen:
-		return nil
-	case end.Outcome() == rules.OK:
-		if open == 0 {
-			c.Finish(end)
-		}
-		return nil
-	}
-	if end == stream.BadFraming || end == stream.TooLong {
-		c.s.complain("broken input from a dispatcher", nil, "end", end.String(), "from", c.RemoteAddr().String())
-	}
-	c.Shut(end)
-	return nil
-}
-
-// ended lets go of what was open when the connection ended.
-func (c *client) ended(end stream.End) {
-	c.mu.Lock()
-	open := c.open
-	c.open = nil
-	c.mu.Unlock()
-	for _, x := range open {
-		if x.Abandon(exchange.WasGone) {
-			c.s.sink.Gone(x)
-		}
-	}
-	c.s.mu.Lock()
-	delete(c.s.clients, c)
-	c.s.mu.Unlock()
-	select {
-	case c.s.room <- struct{}{}:
-	default:
+// complain logs bad input at a bounded rate.
+func (s *Server) complain(what string, err error, more ...any) {
+	now, last := time.Now().UnixNano(), s.complained.Load()
+	if now-last < int64(complainGap) || !s.complained.CompareAndSwap(last, now) {
+		s.muted.Add(1)
+		return
 	}
-	if len(open) > 0 || end == stream.Overflow || end == stream.ReadStalled || end == stream.WriteStalled {
-		c.s.complain("dispatcher's connection ended badly", nil, "end", end.String(), "open", len(open))
+	if err != nil {
+		more = append(more, "err", err)
 	}
+	s.cfg.Log.Warn(what, append(more, "muted", s.muted.Swap(0))...)
 }
 
 func (s *Server) accepted(conn redcon.Conn) bool {
@@ -304,189 +248,6 @@
 
 func (s *Server) closed(redcon.Conn, error) {}
 
-// command takes one message; cmd lives only during the call.
-func (s *Server) command(conn redcon.Conn, cmd redcon.Command) {
-	c, ok := conn.Context().(*client)
-	if !ok || len(cmd.Args) == 0 {
-		return
-	}
-	var tag []byte
-	if len(cmd.Args) > 1 {
-		tag = cmd.Args[1]
-	}
-	switch string(cmd.Args[0]) {
-	case "RPC.CALL":
-		c.call(tag, cmd.Args)
-	case "RPC.CANCEL":
-		s.Counters.Cancels.Add(1)
-		c.cancel(tag)
-	case "RPC.HEALTH":
-		s.Counters.Health.Add(1)
-		c.health(tag)
-	default:
-		s.Counters.Unknown.Add(1)
-		s.complain("unknown command", fmt.Errorf("%q", clip(cmd.Args[0])))
-		c.reject(tag)
-	}
-}
-
-// reject answers what could not be read as a request: it fails, as nobody can
-// tell what its dispatcher takes from a refusal.
-func (c *client) reject(tag []byte) {
-	if _, err := parseTag(tag); err != nil {
-		tag = []byte("0")
-	}
-	c.Send(message(tag, "FAIL", nil, nil))
-}
-
-func (c *client) call(tagText []byte, args [][]byte) {
-	tag, err := parseTag(tagText)
-	var call exchange.Call
-	if err == nil {
-		switch len(args) {
-		case 4:
-			call, err = c.s.lanes.parseCall(args[2], args[3], nil)
-		case 5:
-			call, err = c.s.lanes.parseCall(args[2], args[3], args[4])
-		default:
-			err = fmt.Errorf("a request of %d parts", len(args))
-		}
-	}
-	c.mu.Lock()
-	gone := c.open == nil
-	if err == nil && !gone {
-		if len(c.open) >= maxOpen {
-			err = errors.New("more requests open than allowed")
-		} else if c.open[tag] != nil {
-			err = errors.New("a tag that is open")
-		}
-	}
-	c.used = time.Now()
-	if err != nil || gone {
-		c.mu.Unlock()
-		if gone { // the connection ended before this was read
-			return
-		}
-		c.s.Counters.Calls.Add(1)
-		c.s.Counters.Malformed.Add(1)
-		c.s.complain("request not understood", err)
-		exchange.New(c.s.ledger, rejecter{c, tagText}, tag, call).Answer(exchange.Answer{Kind: exchange.Failed})
-		return
-	}
-	c.s.Counters.Calls.Add(1)
-	x := exchange.New(c.s.ledger, c, tag, call)
-	c.open[tag] = x
-	c.mu.Unlock()
-	c.s.sink.Arrived(x)
-}
-
-// rejecter answers a request that never became open.
-type rejecter struct {
-	c   *client
-	tag []byte
-}
-
-func (r rejecter) Reply(uint64, exchange.Answer) { r.c.reject(r.tag) }
-
-func (c *client) cancel(tagText []byte) {
-	tag, _ := parseTag(tagText) // a bad tag is as unknown as any other
-	c.mu.Lock()
-	x := c.open[tag]
-	if x != nil {
-		delete(c.open, tag)
-	}
-	c.used = time.Now()
-	c.mu.Unlock()
-	if x == nil { // its answer and the cancel crossed, or it never was
-		c.s.Counters.Unmatched.Add(1)
-		return
-	}
-	if x.Abandon(exchange.WasCancelled) {
-		c.s.sink.Gone(x)
-	}
-}
-
-func (c *client) health(tag []byte) {
-	c.mu.Lock()
-	c.used = time.Now()
-	c.mu.Unlock()
-	if _, err := parseTag(tag); err != nil {
-		c.reject(tag)
-		return
-	}
-	word := "RED"
-	if c.s.good.Load() {
-		word = "GREEN"
-	}
-	c.Send(message(tag, word, c.s.fields(nil, exchange.Answer{}), nil))
-}
-
-// fields writes an answer's fields.
-func (s *Server) fields(b []byte, a exchange.Answer) []byte {
-	if f := s.feedback.Load(); f != nil {
-		b = append(b, *f...)
-	}
-	add := func(name string) {
-		if len(b) > 0 {
-			b = append(b, ',')
-		}
-		b = append(b, name...)
-	}
-	if a.RetryAfter > 0 {
-		add("later=")
-		b = strconv.AppendInt(b, max(a.RetryAfter.Milliseconds(), 1), 10)
-	}
-	if a.Last {
-		add("giveup=1")
-	}
-	return b
-}
-
-// message encodes an answer.
-func message(tag []byte, word string, fields, body []byte) []byte {
-	b := make([]byte, 0, 64+len(fields)+len(body))
-	b = redcon.AppendArray(b, 4)
-	b = redcon.AppendBulk(b, tag)
-	b = redcon.AppendBulkString(b, word)
-	b = redcon.AppendBulk(b, fields)
-	return redcon.AppendBulk(b, body)
-}
-
-// Reply sends a final answer; the exchange sees to it that there is one.
-func (c *client) Reply(tag uint64, a exchange.Answer) {
-	word := "FAIL"
-	switch a.Kind {
-	case exchange.Served:
-		word = "ACK"
-	case exchange.Refused:
-		word = "NAK"
-	}
-	sent := c.Send(message(strconv.AppendUint(nil, tag, 10), word, c.s.fields(nil, a), a.Body))
-	c.mu.Lock()
-	delete(c.open, tag)
-	c.used = time.Now()
-	over := sent && len(c.open) == 0 && c.ReadEnd() == stream.PeerClosed
-	c.mu.Unlock()
-	if over { // it had closed its side; that was the last answer it waited for
-		c.Finish(stream.PeerClosed)
-	}
-}
-
-// sayFin asks the dispatcher to send no new request here and to close.
-func (c *client) sayFin() {
-	c.mu.Lock()
-	first := c.fin.IsZero()
-	if first {
-		c.fin = time.Now()
-	}
-	c.mu.Unlock()
-	if first {
-		c.Send(finMessage)
-	}
-}
-
-var finMessage = redcon.AppendBulkString(redcon.AppendBulkString(redcon.AppendArray(nil, 2), "0"), "FIN")
-
 // sweep looks for connections to close, until ctx ends.
 func (s *Server) sweep(ctx context.Context) {
 	tick := time.NewTicker(sweepEvery)
@@ -530,7 +291,7 @@
 			c.Shut(stream.ReadStalled)
 		case open > 0 || partial > 0 || c.Unsent() > 0:
 		case !fin.IsZero() && now.Sub(fin) > s.finWait && idle > s.finWait:
-			c.Finish(stream.IdleClosed)
+			c.retire(stream.IdleClosed)
 		case limit > 0 && idle > limit:
 			c.sayFin()
 		}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -614,6 +614,41 @@
 	}
 }
 
+// While connections are short, half a message holds no place for long, and what
+// has something open keeps its own.
+func TestHalfMessagesMakeRoom(t *testing.T) {
+	b := start(t, func(s *Server) { s.cfg.MaxConns = 2 })
+	busy, half := b.dial(t), b.dial(t)
+	busy.Say("RPC.CALL", "1", "read", fields, "x")
+	half.Write([]byte("*2\r\n$10\r\nRPC"))
+	standin.Eventually(t, "both", func() bool {
+		for _, c := range b.all() {
+			if c.Partial(time.Now()) > 0 {
+				return b.sink.last() != nil
+			}
+		}
+		return false
+	})
+	if b.makeRoom() {
+		t.Error("half a message was given no time")
+	}
+	for _, c := range b.all() {
+		c.mu.Lock()
+		c.used = c.used.Add(-2 * roomPartial)
+		c.mu.Unlock()
+	}
+	if !b.makeRoom() || b.makeRoom() {
+		t.Error("not one connection was closed")
+	}
+	if got := half.Hear(); got != "EOF" {
+		t.Errorf("%q", got)
+	}
+	b.sink.last().Answer(exchange.Answer{Kind: exchange.Failed})
+	if got := busy.Hear(); got != "1 FAIL  " {
+		t.Errorf("%q", got)
+	}
+}
+
 // Any fields at all are either understood within their bounds or turned down.
 func FuzzCall(f *testing.F) {
 	f.Add("read", fields, "x")
