Let a defect of the module cost one event, not the batch behind it

Found by reading: a panic while a batch was fed dropped the events behind it, requests among them, which nobody would then have answered. Each event is fed under a guard of its own, and safe runs that the new module does not know of are stopped, as it would not count them on the cores. Test: a module with a defect, a request behind it in the batch.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,21 +233,18 @@
 	n.tick()
 	late := n.late
 	n.late = nil
+	for _, e := range append(late, queue...) { // each by itself: a defect costs one event
+		n.guard(func() { n.feed(e) })
+	}
 	n.guard(func() {
-		for _, e := range late {
-			n.feed(e)
-		}
-		for _, e := range queue {
-			n.feed(e)
-		}
 		for len(n.timers) > 0 && n.timers[0].at <= n.now {
 			t := n.timers[0]
 			n.timers = slices.Delete(n.timers, 0, 1)
 			n.polled = false
 			n.module.Woke(n.now, t.token, gauges)
 		}
-		n.module.Settle(n.now)
 	})
+	n.guard(func() { n.module.Settle(n.now) })
 	n.table.expire(n.now)
 	if !n.polled && len(n.timers) > 0 && n.timers[0].at-pollLead <= n.now {
 		n.polled = true
@@ -270,8 +267,11 @@
 		for _, it := range n.ordered() {
 			it.x.Answer(exchange.Answer{Kind: exchange.Failed})
 			n.settleKept(it, false, nil)
-			if !it.running {
+			switch {
+			case !it.running:
 				n.forget(it)
+			case it.x.Safe && n.cfg.Settings.Preemption == rules.PreemptDrop:
+				n.pool.Suspend(it.x) // the new module does not count it on the cores
 			}
 		}
 		if err := n.build(n.born, n.cfg.Settings.Cold); err != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -447,6 +447,9 @@
 	for _, x := range append(held, running) {
 		r.only(x, exchange.Failed, "")
 	}
+	if len(r.suspended) != 2 {
+		t.Errorf("stopped %v", r.suspended)
+	}
 	after := r.send(0, nil)
 	r.end(running, pool.Complete, "late")
 	r.end(held[0], pool.Complete, "late")
@@ -459,6 +462,32 @@
 	r.empty()
 }
 
+// faulty is a module with a defect in one of its methods.
+type faulty struct{ decisions }
+
+func (faulty) Gone(time.Duration, rules.RequestID) { panic("defect") }
+
+// A defect costs what it was fed, not what waited behind it in the same batch:
+// those requests were read and are owed an answer.
+func TestModuleFailsWithinABatch(t *testing.T) {
+	r := newRig(t, usual(), true)
+	first := r.send(0, nil)
+	r.module = faulty{r.module}
+	first.Abandon(exchange.WasGone)
+	r.Gone(first)
+	behind := exchange.New(&r.ledger, r.side, 77, exchange.Call{Txn: "behind", Door: unixMs(), Limit: 5000, KB: 1, Safe: true})
+	r.Arrived(behind)
+	r.turn()
+	if r.Resets.Load() != 1 {
+		t.Fatalf("%d resets", r.Resets.Load())
+	}
+	r.end(first, pool.Cancelled, "")
+	r.end(behind, pool.Complete, "r")
+	r.only(behind, exchange.Served, "r")
+	r.none(first)
+	r.empty()
+}
+
 // The module's timer brings the gauges, which are asked for a little earlier.
 func TestGauges(t *testing.T) {
 	r := newRig(t, usual(), true)
