Give the loop's tests a clock of their own, and slow machines time in the others

Several tests measured real time and could have failed on a loaded machine: the loop's now turn a clock by hand, and limits for silence are short only in the tests that are about them.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,8 @@
 	cfg   Config
 	front Front
 	pool  Pool
-	began time.Time
+	clock func() time.Duration // monotonic; what came before this process lies below zero
+	unix  func() float64       // milliseconds
 
 	mu     sync.Mutex
 	queue  []event
@@ -125,8 +126,11 @@
 
 // New returns a node; Attach gives it its two sides and Run runs it.
 func New(cfg Config) *Node {
+	began := time.Now()
 	return &Node{
-		cfg: cfg, began: time.Now(), poke: make(chan struct{}, 1),
+		cfg: cfg, poke: make(chan struct{}, 1),
+		clock: func() time.Duration { return time.Since(began) },
+		unix:  func() float64 { return float64(time.Now().UnixMicro()) / 1000 },
 		items: map[rules.RequestID]*item{}, byX: map[*exchange.Exchange]*item{},
 		byTxn: map[string]struct{}{}, table: newTable(cfg.KeyBytes),
 	}
@@ -202,10 +206,6 @@
 	}
 }
 
-// clock is monotonic. What came before this process, like the start of the
-// worker pool, lies below zero.
-func (n *Node) clock() time.Duration { return time.Since(n.began) }
-
 func (n *Node) tick() { n.now = n.clock() }
 
 // untilTimer is the time to the next thing the loop does by itself.
@@ -374,7 +374,7 @@
 	it := &item{id: n.nextID, x: x}
 	n.items[it.id], n.byX[x] = it, it
 	n.byTxn[x.Txn] = struct{}{}
-	q := request(x, it.id, float64(time.Now().UnixMicro())/1000)
+	q := request(x, it.id, n.unix())
 	q.Earlier = n.table.earlier(x, q, n.now, n.cfg.Settings)
 	if q.Earlier == it.id {
 		q.Earlier = 0
