--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -2,10 +2,12 @@
 // This file owns its start, its signals and its exit; it wires the parts
 // together and must never decide about a request or touch a connection.
 //
-// SIGTERM and SIGINT are the notice to leave, SIGUSR1 logs the counters.
+// SIGTERM and SIGINT are the notice to leave, SIGHUP makes it read its
+// configuration again, SIGUSR1 logs the counters.
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -42,23 +44,23 @@
 )
 
 func main() {
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	signal.Ignore(syscall.SIGPIPE) // else the node would die with the reader of its log
 	cfg, err := load(os.Getenv)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "robinmast: %v\n", err)
 		os.Exit(2)
 	}
 	limit(cfg)
-	signal.Ignore(syscall.SIGPIPE) // else the node would die with the reader of its log
 	out := newLogWriter(os.Stderr)
 	log := slog.New(slog.NewTextHandler(out, nil)).With("node", cfg.Name)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "robinmast: listen: %v\n", err)
 		os.Exit(1)
 	}
-	err = serve(cfg, ln, signals, log)
+	err = serve(cfg, ln, signals, func() (*config, error) { return load(os.Getenv) }, log)
 	if err != nil {
 		log.Error("node failed", "err", err)
 	}
@@ -77,6 +79,9 @@
 
 // parts are the pieces of a running node.
 type parts struct {
+	cfg    *config
+	reload func() (*config, error)
+	log    *slog.Logger
 	ledger *exchange.Ledger
 	front  *front.Server
 	pool   *pool.Link
@@ -84,10 +89,15 @@
 	node   *node.Node
 }
 
-// serve runs the node until it has left.
-func serve(cfg *config, ln net.Listener, signals <-chan os.Signal, log *slog.Logger) error {
+// serve runs the node until it has left; reload reads the configuration anew.
+func serve(
+	cfg *config, ln net.Listener, signals <-chan os.Signal, reload func() (*config, error), log *slog.Logger,
+) error {
 	memory := int64(cfg.Limits.MemoryMB * (1 << 20))
-	p := &parts{ledger: &exchange.Ledger{}, report: members.New(cfg.Members, cfg.Name, log)}
+	p := &parts{
+		cfg: cfg, reload: reload, log: log,
+		ledger: &exchange.Ledger{}, report: members.New(cfg.Members, cfg.Name, log),
+	}
 	p.node = node.New(node.Config{
 		Settings: cfg.set, Seed: cfg.seed, KeyBytes: int(memory / keyShare), Health: p.report.SetUp, Log: log,
 	})
@@ -123,11 +133,10 @@
 		case err := <-failed:
 			return err
 		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
-				p.count(log, "counters")
+			if p.told(sig) {
 				continue
 			}
-			p.drain(cfg, log, signals)
+			p.drain(signals)
 			p.front.Shut()
 			cancel()
 			running.Wait()
@@ -137,12 +146,46 @@
 	}
 }
 
+// told carries out a signal that is no notice to leave; it reports whether it
+// was one. Such a signal may also come while the node leaves.
+func (p *parts) told(sig os.Signal) bool {
+	switch sig {
+	case syscall.SIGUSR1:
+		p.count(p.log, "counters")
+	case syscall.SIGHUP:
+		p.readdress()
+	default:
+		return false
+	}
+	return true
+}
+
+// readdress takes up the addresses of a configuration that was replaced. One
+// that can't be used changes nothing: whoever wrote it is told, and the node
+// serves on with what it has. All else in it takes a start, and is left alone.
+func (p *parts) readdress() {
+	cfg, err := p.reload()
+	if err != nil {
+		p.log.Error("new configuration not taken", "err", err)
+		return
+	}
+	p.log.Info("new configuration", "pool", cfg.Pool, "members", cfg.Members,
+		"pool_moves", cfg.Pool != p.cfg.Pool, "members_move", cfg.Members != p.cfg.Members)
+	if cfg.Name != p.cfg.Name || cfg.Listen != p.cfg.Listen || cfg.StopMs != p.cfg.StopMs || cfg.Limits != p.cfg.Limits ||
+		!bytes.Equal(cfg.Settings, p.cfg.Settings) {
+		p.log.Warn("only the addresses of the worker pool and the membership service are taken without a restart")
+	}
+	p.cfg.Pool, p.cfg.Members = cfg.Pool, cfg.Members
+	p.pool.Move(cfg.Pool)
+	p.report.Move(cfg.Members)
+}
+
 // drain leaves: everything read is answered and sent before it returns, and it
 // returns before the process would be killed. Connections stay open for the
 // grace, since what comes within it still runs and a new connection is work;
 // then each gets `0 FIN` and new ones are refused, which proves that nothing ran.
-func (p *parts) drain(cfg *config, log *slog.Logger, signals <-chan os.Signal) {
-	notice := time.Now()
+func (p *parts) drain(signals <-chan os.Signal) {
+	cfg, log, notice := p.cfg, p.log, time.Now()
 	stop := cfg.stop()
 	left := max(stop-exitMargin, stop/2)
 	log.Info("notice to leave", "stop", stop, "in_hand", p.ledger.InHand())
@@ -154,9 +197,7 @@
 	for {
 		select {
 		case sig := <-signals:
-			if sig == syscall.SIGUSR1 {
-				p.count(log, "counters")
-			}
+			p.told(sig)
 		case <-tick.C:
 		}
 		since := time.Since(notice)
--- a/cmd/robinmast/main_test.go
+++ b/cmd/robinmast/main_test.go
@@ -61,7 +61,7 @@
 }
 
 // The whole program serves health checks with neither worker pool nor membership
-// service, counts on SIGUSR1, outlives the reader of its log, and leaves on
+// service, counts on SIGUSR1, lives through SIGHUP, outlives the reader of its log, and leaves on
 // SIGTERM with status 0 in time.
 func TestProgram(t *testing.T) {
 	pid := os.Getpid()
@@ -90,8 +90,8 @@
 	if got := d.Hear(); !strings.HasPrefix(got, "1 GREEN") {
 		t.Errorf("%q", got)
 	}
-	for range 3 {
-		if err := c.Process.Signal(syscall.SIGUSR1); err != nil {
+	for _, sig := range []os.Signal{syscall.SIGUSR1, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGHUP} {
+		if err := c.Process.Signal(sig); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -38,17 +38,24 @@
 }
 
 func newWorkers(t *testing.T) *workers {
-	w := &workers{t: t, ln: standin.Listen(t), runs: map[string]*time.Timer{}, started: map[string]int{}}
+	w := &workers{t: t, runs: map[string]*time.Timer{}, started: map[string]int{}}
+	w.ln = w.listen()
+	return w
+}
+
+// listen serves the worker pool at one more address.
+func (w *workers) listen() net.Listener {
+	ln := standin.Listen(w.t)
 	go func() {
 		for {
-			c, err := w.ln.Accept()
+			c, err := ln.Accept()
 			if err != nil {
 				return
 			}
 			go w.serve(c)
 		}
 	}()
-	return w
+	return ln
 }
 
 func (w *workers) serve(c net.Conn) {
@@ -121,6 +128,8 @@
 	ln      net.Listener
 	addr    string
 	workers *workers
+	config  atomic.Pointer[string] // what a reload reads
+	moved   atomic.Int64           // reports at the address of a reload
 	signals chan os.Signal
 	done    chan error
 	log     *logBuffer
@@ -174,7 +183,9 @@
 		t.Fatal(err)
 	}
 	log := slog.New(slog.NewJSONHandler(s.log, nil))
-	go func() { s.done <- serve(cfg, ln, s.signals, log) }()
+	s.config.Store(&text)
+	reload := func() (*config, error) { return parse([]byte(*s.config.Load()), none) }
+	go func() { s.done <- serve(cfg, ln, s.signals, reload, log) }()
 	t.Cleanup(func() {
 		if !s.stopped {
 			s.stop()
@@ -382,3 +393,60 @@
 	}
 	<-ended
 }
+
+// While runs are open, the configuration is replaced and SIGHUP comes: the node
+// goes on at the new addresses, loses nothing and runs nothing twice. It guards
+// against a node that dies of the signal, holds on to an address that nobody
+// serves any more, or takes up a file that can't be used.
+func TestServeReload(t *testing.T) {
+	s := newSystem(t)
+	d := s.dial()
+	for tag := 1; tag <= 6; tag++ {
+		d.call(tag, 300, "")
+	}
+	standin.Eventually(t, "all runs", func() bool { s.workers.mu.Lock(); defer s.workers.mu.Unlock(); return len(s.workers.runs) == 6 })
+	good, bad := *s.config.Load(), "{"
+	s.config.Store(&bad)
+	s.signals <- syscall.SIGHUP
+	standin.Eventually(t, "a file refused", func() bool { return s.log.line("new configuration not taken") != nil })
+
+	next := s.workers.listen()
+	members := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.moved.Add(1)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(members.Close)
+	var was struct{ Pool, Members string }
+	if err := json.Unmarshal([]byte(good), &was); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.NewReplacer(was.Pool, next.Addr().String(), was.Members, strings.TrimPrefix(members.URL, "http://")).Replace(good)
+	s.config.Store(&text)
+	s.workers.ln.Close()
+	s.signals <- syscall.SIGHUP
+	standin.Eventually(t, "a link and a report at the new addresses", func() bool {
+		l := s.log.line("worker pool bound")
+		s.workers.mu.Lock()
+		defer s.workers.mu.Unlock()
+		return l != nil && s.moved.Load() > 0 && s.workers.link != nil &&
+			s.workers.link.LocalAddr().String() == next.Addr().String()
+	})
+	d.call(7, 1, "")
+	for range 7 {
+		if got := d.Hear(); !strings.Contains(got, " ACK ") {
+			t.Errorf("%q", got)
+		}
+	}
+	s.workers.mu.Lock()
+	for txn, n := range s.workers.started {
+		if n != 1 {
+			t.Errorf("%s ran %d times", txn, n)
+		}
+	}
+	s.workers.mu.Unlock()
+	go func() { // it must also work while the node leaves
+		standin.Eventually(t, "the notice", func() bool { return s.log.line("notice to leave") != nil })
+		s.signals <- syscall.SIGHUP
+	}()
+	s.stop()
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -36,7 +36,8 @@
 
 	Traffic stream.Traffic
 
-	url    string
+	name   string
+	url    atomic.Pointer[string]
 	client *http.Client
 	log    *slog.Logger
 	period time.Duration // the constant, but in tests
@@ -47,9 +48,9 @@
 // New returns a reporter to the service at addr for the node called name.
 func New(addr, name string, log *slog.Logger) *Reporter {
 	r := &Reporter{
-		period: period, url: "http://" + addr + "/members/" + url.PathEscape(name), log: log,
-		change: make(chan struct{}, 1),
+		name: name, period: period, log: log, change: make(chan struct{}, 1),
 	}
+	r.point(addr)
 	r.client = &http.Client{Timeout: timeout, Transport: &http.Transport{
 		Proxy: nil, DialContext: r.dial, DisableCompression: true,
 		MaxIdleConns: 1, MaxConnsPerHost: 2, IdleConnTimeout: 30 * time.Second,
@@ -57,6 +58,29 @@
 	return r
 }
 
+func (r *Reporter) point(addr string) (changed bool) {
+	u := "http://" + addr + "/members/" + url.PathEscape(r.name)
+	old := r.url.Swap(&u)
+	return old == nil || *old != u
+}
+
+// Move takes the reports to another address, beginning with one at once. A
+// report that is under way ends where it began.
+func (r *Reporter) Move(addr string) {
+	if !r.point(addr) {
+		return
+	}
+	r.client.CloseIdleConnections()
+	r.poke()
+}
+
+func (r *Reporter) poke() {
+	select {
+	case r.change <- struct{}{}:
+	default:
+	}
+}
+
 // dial opens a connection whose bytes pass through rings like all others.
 func (r *Reporter) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	raw, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, network, addr)
@@ -70,10 +94,7 @@
 // SetUp sets the phase and, if it changed, reports it at once.
 func (r *Reporter) SetUp(up bool) {
 	if r.out.Swap(!up) == up {
-		select {
-		case r.change <- struct{}{}:
-		default:
-		}
+		r.poke()
 	}
 }
 
@@ -118,7 +139,7 @@
 	if r.out.Load() {
 		phase = "OUT"
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, r.url, strings.NewReader(`{"phase":"`+phase+`"}`))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, *r.url.Load(), strings.NewReader(`{"phase":"`+phase+`"}`))
 	if err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -84,13 +84,15 @@
 	Counters Counters
 	Traffic  stream.Traffic
 
-	addr string
-	sink Sink
-	log  *slog.Logger
+	sink  Sink
+	log   *slog.Logger
+	moved chan struct{} // poked when addr has changed
 
 	quiet, await time.Duration // quietLimit and boundLimit, but in tests
 
 	mu    sync.Mutex
+	addr  string
+	next  net.Conn     // open to a new addr, for the next link
 	conn  *stream.Conn // nil while there is no link
 	ready bool         // the replay was taken: commands may go out
 	runs  map[string]*run
@@ -104,7 +106,26 @@
 
 // New returns a link to the worker pool at addr; Run brings it up.
 func New(addr string, sink Sink, log *slog.Logger) *Link {
-	return &Link{addr: addr, sink: sink, log: log, quiet: quietLimit, await: boundLimit, runs: map[string]*run{}}
+	return &Link{
+		addr: addr, sink: sink, log: log, moved: make(chan struct{}, 1),
+		quiet: quietLimit, await: boundLimit, runs: map[string]*run{},
+	}
+}
+
+// Move takes the link to another address. The present link serves until a
+// connection to the new one is open; runs and the count of notices go on.
+func (l *Link) Move(addr string) {
+	l.mu.Lock()
+	same := l.addr == addr
+	l.addr = addr
+	l.mu.Unlock()
+	if same {
+		return
+	}
+	select {
+	case l.moved <- struct{}{}:
+	default:
+	}
 }
 
 // command is what the node sends.
@@ -195,6 +216,7 @@
 
 // Run keeps the link up until ctx ends.
 func (l *Link) Run(ctx context.Context) {
+	defer l.dropNext()
 	wait, logged, at := backoffMin, int64(-1), time.Time{}
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -211,12 +233,24 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-l.moved:
+			wait = backoffMin
+			continue
+		case <-time.After(nextTry(end, wait)):
 		}
 		wait = min(2*wait, backoffMax)
 	}
 }
 
+// nextTry is the pause before the next try to connect, none if this side ended
+// the link in favour of another.
+func nextTry(end stream.End, wait time.Duration) time.Duration {
+	if end == stream.LeftByUs {
+		return 0
+	}
+	return wait
+}
+
 // Runs is the number of runs asked for and not known to be over.
 func (l *Link) Runs() int {
 	l.mu.Lock()
@@ -226,15 +260,21 @@
 
 // once opens a link and reads from it until it ends.
 func (l *Link) once(ctx context.Context) (stream.End, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", l.addr)
+	raw, err := l.dial(ctx)
 	if err != nil {
-		return l.Traffic.NeverOpened(err), fmt.Errorf("dial worker pool: %w", err)
+		return l.Traffic.NeverOpened(err), err
 	}
 	c := stream.New(raw, &stream.Lines{Longest: longestLine},
 		stream.Limits{In: inLimit, Out: outLimit, Stall: l.await}, &l.Traffic, nil)
 	stop := context.AfterFunc(ctx, func() { c.Shut(stream.LeftByUs) })
 	defer stop()
+	linked, unlink := context.WithCancel(ctx)
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		l.follow(linked, c)
+	}()
+	defer func() { unlink(); <-followed }()
 	l.mu.Lock()
 	l.conn, l.ready = c, false
 	l.tries++
@@ -250,6 +290,61 @@
 	return c.Ended(), err
 }
 
+// dial opens a connection to the worker pool, or takes the one that follow opened.
+func (l *Link) dial(ctx context.Context) (net.Conn, error) {
+	l.mu.Lock()
+	addr, next := l.addr, l.next
+	l.next = nil
+	l.mu.Unlock()
+	if next != nil {
+		return next, nil
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial worker pool: %w", err)
+	}
+	return raw, nil
+}
+
+// dropNext closes a connection that no link was made of.
+func (l *Link) dropNext() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.next != nil {
+		_ = l.next.Close()
+		l.next = nil
+	}
+}
+
+// follow waits, while a link is up, for a new address, and lets the link go once
+// a connection to that one is open: a node that is told an address at which
+// nobody listens yet must not lose the link it has.
+func (l *Link) follow(ctx context.Context, c *stream.Conn) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-l.moved:
+	}
+	for wait := backoffMin; ; wait = min(2*wait, backoffMax) {
+		raw, err := l.dial(ctx)
+		if err == nil {
+			l.mu.Lock()
+			l.next = raw
+			l.mu.Unlock()
+			c.Shut(stream.LeftByUs)
+			return
+		}
+		l.Traffic.NeverOpened(err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.moved: // newer still
+		case <-time.After(wait):
+		}
+	}
+}
+
 func (l *Link) read(c *stream.Conn) error {
 	lines := bufio.NewScanner(c)
 	lines.Buffer(make([]byte, 0, 8<<10), longestLine+2)
