--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -23,10 +23,11 @@
 	*stream.Conn
 	s *Server
 
-	mu   sync.Mutex
-	open map[uint64]*exchange.Exchange
-	used time.Time // when it last carried something
-	fin  time.Time // when it was told that no new request may come
+	mu    sync.Mutex
+	open  map[uint64]*exchange.Exchange
+	used  time.Time // when it last carried something
+	spoke bool      // a whole message, and one of the protocol's
+	fin   time.Time // when it was told that no new request may come
 }
 
 // Write takes what redcon itself would send, which is nothing but replies to
@@ -162,6 +163,7 @@
 		exchange.New(c.s.ledger, rejecter{c, tagText}, tag, call).Answer(exchange.Answer{Kind: exchange.Failed})
 		return
 	}
+	c.spoke = true
 	c.s.Counters.Calls.Add(1)
 	x := exchange.New(c.s.ledger, c, tag, call)
 	c.open[tag] = x
@@ -197,7 +199,7 @@
 
 func (c *client) health(tag []byte) {
 	c.mu.Lock()
-	c.used = time.Now()
+	c.used, c.spoke = time.Now(), true
 	c.mu.Unlock()
 	if _, err := parseTag(tag); err != nil {
 		c.reject(tag)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -36,6 +36,7 @@
 	finWait      = 2 * time.Second        // for a dispatcher to close after `0 FIN`
 	partialLimit = 10 * time.Second       // for the rest of a message, if nothing is open
 	partialMost  = 30 * time.Second       // and in any case
+	firstLimit   = 2 * time.Second        // for a new connection's first whole message: its dispatcher has one to send
 	acceptPause  = 20 * time.Millisecond  // while no descriptor is free
 	complainGap  = 2 * time.Second        // between log lines about bad input
 )
@@ -77,8 +78,8 @@
 	ledger *exchange.Ledger
 
 	// The mechanics' constants, but in tests.
-	limits                           stream.Limits
-	finWait, partialSoft, partialMax time.Duration
+	limits                                  stream.Limits
+	finWait, partialSoft, partialMax, first time.Duration
 
 	good     atomic.Bool
 	feedback atomic.Pointer[string]
@@ -100,7 +101,7 @@
 		cfg: cfg, lanes: newLanes(cfg.Settings, cfg.Names), sink: sink, ledger: ledger,
 		clients: map[*client]struct{}{}, room: make(chan struct{}, 1),
 		limits:  stream.Limits{In: inLimit, Out: outLimit, Stall: stream.StallLimit},
-		finWait: finWait, partialSoft: partialLimit, partialMax: partialMost,
+		finWait: finWait, partialSoft: partialLimit, partialMax: partialMost, first: firstLimit,
 	}
 	s.Traffic.HeldLimit = cfg.OutBytes
 	s.good.Store(true)
@@ -185,23 +186,31 @@
 }
 
 // makeRoom closes the connection that has carried nothing for longest, if one
-// has nothing open; one with half a message only if there is no other. A connection that the machine has accepted and the node has
-// not may carry requests already, which nobody would answer.
+// has nothing open: first of those that never said anything whole, and one with
+// half a message only if there is no other. A connection that the machine has
+// accepted and the node has not may carry requests already, which nobody would
+// answer.
 func (s *Server) makeRoom() bool {
 	var best *client
 	var bestUsed time.Time
-	var bestPart bool
+	bestRank := 0
 	now := time.Now()
 	for _, c := range s.all() {
 		c.mu.Lock()
-		free, used := len(c.open) == 0, c.used
+		free, used, rank := len(c.open) == 0, c.used, 0
+		if c.spoke {
+			rank = 1
+		}
 		c.mu.Unlock()
 		part := c.Partial(now) > 0
 		if !free || c.Unsent() > 0 || part && now.Sub(used) < roomPartial {
 			continue
 		}
-		if best == nil || part != bestPart && bestPart || part == bestPart && used.Before(bestUsed) {
-			best, bestUsed, bestPart = c, used, part
+		if part {
+			rank = 2
+		}
+		if best == nil || rank < bestRank || rank == bestRank && used.Before(bestUsed) {
+			best, bestUsed, bestRank = c, used, rank
 		}
 	}
 	return best != nil && best.retire(stream.IdleClosed)
@@ -283,10 +292,14 @@
 	limit := time.Duration(s.idle.Load())
 	for _, c := range s.all() {
 		c.mu.Lock()
-		idle, open, fin := now.Sub(c.used), len(c.open), c.fin
+		idle, open, fin, spoke := now.Sub(c.used), len(c.open), c.fin, c.spoke
 		c.mu.Unlock()
 		partial := c.Partial(now)
 		switch {
+		// Whoever says nothing whole after connecting is no dispatcher: those connect
+		// to send. Should one be that slow, it only has to connect again.
+		case !spoke && idle > s.first:
+			c.retire(stream.ReadStalled)
 		case partial > s.partialMax, partial > s.partialSoft && open == 0:
 			c.Shut(stream.ReadStalled)
 		case open > 0 || partial > 0 || c.Unsent() > 0:
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -649,6 +649,50 @@
 	}
 }
 
+// Strangers connect by the hundred and say nothing, or nothing whole: each is
+// closed soon, while a dispatcher that has spoken keeps its connection. Without
+// the limit they would hold every descriptor for the longest idle limit.
+func TestSilentStrangersAreClosed(t *testing.T) {
+	b := start(t, func(s *Server) { s.first = 150 * time.Millisecond })
+	d, silent, half := b.dial(t), b.dial(t), b.dial(t)
+	d.Say("RPC.HEALTH", "1", "")
+	if got := d.Hear(); got != "1 GREEN  " {
+		t.Errorf("%q", got)
+	}
+	half.Write([]byte("*2\r\n$10\r\nRPC"))
+	if got := silent.Hear(); got != "EOF" {
+		t.Errorf("silent: %q", got)
+	}
+	if got := half.Hear(); got != "EOF" {
+		t.Errorf("half: %q", got)
+	}
+	d.Say("RPC.HEALTH", "2", "")
+	if got := d.Hear(); got != "2 GREEN  " || b.Traffic.Ended[stream.ReadStalled].Load() != 2 {
+		t.Errorf("%q, %d closed", got, b.Traffic.Ended[stream.ReadStalled].Load())
+	}
+}
+
+// A full table makes room by a connection that never spoke, however long one
+// that did has been idle: it may be a dispatcher's, and costs a new one.
+func TestStrangersMakeRoomFirst(t *testing.T) {
+	b := start(t, func(s *Server) { s.cfg.MaxConns = 2 })
+	d := b.dial(t)
+	d.Say("RPC.HEALTH", "1", "")
+	d.Hear()
+	silent := b.dial(t)
+	standin.Eventually(t, "both", func() bool { return b.Conns() == 2 })
+	if !b.makeRoom() {
+		t.Error("no room")
+	}
+	if got := silent.Hear(); got != "EOF" {
+		t.Errorf("%q", got)
+	}
+	d.Say("RPC.HEALTH", "2", "")
+	if got := d.Hear(); got != "2 GREEN  " {
+		t.Errorf("%q", got)
+	}
+}
+
 // Any fields at all are either understood within their bounds or turned down.
 func FuzzCall(f *testing.F) {
 	f.Add("read", fields, "x")
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1,12 +1,12 @@
 package rules
 
-// All decisions of a node, in the order a request lives: arrive, hold, start,
-// call, answer, drain. The interface (settings, events, Host) is in api.go.
-// docs/design.md tells what comes from the paper and when each exception acts.
+// All decisions of a node, in the order a request lives: arrive, hold, start, call, answer, drain.
+// The interface is in api.go; docs/design.md tells what comes from the paper and when exceptions act.
 
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -17,6 +17,7 @@
 	beat          = 25 * time.Millisecond  // the one timer: finer than any aim, 40 wake-ups a second
 	stepEvery     = 100 * time.Millisecond // the limit's steps: several completions apart
 	sayEvery      = 200 * time.Millisecond // free value and pressure: a fifth of its usual life
+	usualAim      = 2 * time.Second        // shorter aims shrink these, stallMin and minAdvice
 	pauseOver     = 60 * time.Millisecond  // a beat this late means that the process stood still
 	waitShare     = 0.30                   // max wait over the shortest aim: leaves most of it to run
 	ageShare      = 0.12                   // age limit as a share of the class deadline
@@ -74,6 +75,7 @@
 	swampOver     = 3.0                    // reads and new connections a core that count as a swamp
 	doorHold      = 60 * time.Second       // from a swamp on tables may fill for so long: then tried again
 	retryWorth    = 0.4                    // worth of a marked retry over a first try: it may be late
+	mostCallers   = 4096                   // callers remembered: a fleet has a tenth of it
 	idleAlpha     = 0.02                   // weight of a request in what an idle limit costs: fifty requests
 	firstRunGuess = 300 * time.Millisecond // a run's length until the first one ended
 )
@@ -152,10 +154,14 @@
 	hintCov  float64    // and of that times run latency off its class mean
 
 	limit     float64 // running limit
+	quick     float64 // how far the shortest aim shrinks the times of learning, 1 = not at all
 	maxWait   time.Duration
-	drainRate float64       // successes a second while requests are held
-	drained   int           // successes since the last step
-	lineStood bool          // the line was never empty since the last step
+	waits     bool          // every slot is taken and requests are held
+	seen      time.Duration // until when the next four count
+	stood     float64       // seconds since the last step in which waits was true
+	drained   float64       // successes in them
+	rateTime  float64       // the two over the steps before, faded: their quotient is the drain rate
+	rateCount float64
 	progress  time.Duration // last sign that work moves
 	stalled   bool
 
@@ -192,13 +198,8 @@
 
 // New starts a node's decisions. The seed is not used: nothing here is random.
 func New(now time.Duration, set Settings, _ uint64, host Host) (*Module, error) {
-	switch {
-	case set.Cores < 1:
-		return nil, errors.New("settings: a node needs at least one core")
-	case len(set.Classes) == 0:
-		return nil, errors.New("settings: no request classes")
-	case set.MemoryKB <= 0:
-		return nil, errors.New("settings: no memory size")
+	if set.Cores < 1 || len(set.Classes) == 0 || set.MemoryKB <= 0 {
+		return nil, errors.New("settings: a node needs cores, request classes and memory")
 	}
 	set.Classes = slices.Clone(set.Classes)
 	shortest := time.Duration(math.MaxInt64)
@@ -220,6 +221,7 @@
 		sent: make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
 		lastFrom: map[uint32]time.Duration{},
 		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
+		stopAt: math.MaxInt64, quick: min(float64(shortest)/float64(usualAim), 1),
 		idleSaid: set.KeepaliveMax, door: now, // a clock below zero is no swamp
 	}
 	host.SetHealth(true, true)
@@ -258,15 +260,16 @@
 	}
 }
 
-// hear learns from the time since a caller was last heard what each idle limit
-// would cost: a connection held idle takes a part of the cores, and one closed
-// too early is opened anew.
+// hear learns from the time since a caller was last heard what each idle limit would cost: a
+// connection held idle takes a part of the cores, and one closed too early is opened anew.
 func (m *Module) hear(caller uint32) {
 	last, known := m.lastFrom[caller]
 	if !known {
 		last = m.born
 	}
-	m.lastFrom[caller] = m.now
+	if known || len(m.lastFrom) < mostCallers { // a stranger may name any number
+		m.lastFrom[caller] = m.now
+	}
 	for i := range m.idleCost {
 		gap, limit := m.now-last, idleShortest<<i
 		cost := min(gap, limit).Seconds() / idleWorth.Seconds()
@@ -303,9 +306,7 @@
 	if m.set.PassesPatience && r.Patience > 0 {
 		r.due = m.now + r.Patience
 	}
-	if m.draining {
-		r.due = min(r.due, m.stopAt)
-	}
+	r.due = min(r.due, m.stopAt)
 	r.aim = r.arrived + c.Aim
 	if c.AimStretch > 0 {
 		work := r.Hint
@@ -373,14 +374,30 @@
 	if m.stalled {
 		return 0
 	}
-	return int(max(m.limit, m.maxWait.Seconds()*m.drainRate))
+	return int(max(m.limit, m.maxWait.Seconds()*m.drainRate()))
+}
+
+// drainRate is how many held requests a second get a slot: what was learned while
+// slots were short, and until they were for a step, what full slots would yield.
+func (m *Module) drainRate() float64 {
+	if _, usual := m.ratio(); m.rateTime < m.span(stepEvery).Seconds() && usual > 0 {
+		return m.limit / usual
+	}
+	return m.rateCount / max(m.rateTime, stepEvery.Seconds())
+}
+
+// pass counts the time in which slots were short: a burst may be over within a step.
+func (m *Module) pass() {
+	if m.waits {
+		m.stood += (m.now - m.seen).Seconds()
+	}
+	m.seen = m.now
 }
 
 // tooOld reports whether a held request may not wait longer: its age limit has
 // passed, or what is left before its aim is too short to run it.
 func (m *Module) tooOld(r *request) bool {
-	limit := time.Duration(ageShare * float64(m.class(r).Deadline))
-	return m.now-r.arrived-r.excused > limit || m.hopeless(r)
+	return float64(m.now-r.arrived-r.excused) > ageShare*float64(m.class(r).Deadline) || m.hopeless(r)
 }
 
 func (m *Module) hopeless(r *request) bool {
@@ -451,9 +468,8 @@
 
 // ---- start ----
 
-// crowd is how many requests may be in hand, so that even if all come back from
-// calls at once the cores stay under the crowd known to be survived. A cold
-// node's speed counts at its slowest ramp.
+// crowd is how many requests may be in hand, so that even if all come back from calls at once the
+// cores stay under the crowd known to be survived. A cold node's speed counts at its slowest ramp.
 func (m *Module) crowd() float64 {
 	speed := 1.0
 	if m.set.Cold && m.set.Ramp > 0 {
@@ -504,19 +520,19 @@
 
 // step moves the running limit and the drain rate.
 func (m *Module) step(dt time.Duration) {
-	if m.lineStood && dt > 0 && !m.stalled {
-		m.drainRate += rateAlpha * (float64(m.drained)/dt.Seconds() - m.drainRate)
-	}
+	share := min(m.stood/max(dt.Seconds(), m.set.Tick.Seconds()), 1)
+	m.rateTime += m.stood - rateAlpha*share*m.rateTime
+	m.rateCount += m.drained - rateAlpha*share*m.rateCount
 	ratio, _ := m.ratio()
 	switch {
-	case m.lineStood && m.onCores >= int(m.limit) && m.coresIdle(ratio):
-		m.limit = max(m.limit+limitAdd, m.limit*limitGrow)
+	case share > 0 && m.coresIdle(ratio):
+		m.limit += share * max(limitAdd, m.limit*(limitGrow-1))
 	case ratio > slowRatio && !m.coresIdle(ratio): // waits, not crowding, make runs long on idle cores
 		m.limit *= limitShrink
 	}
 	m.limit = max(min(m.limit, m.crowd()), float64(m.set.Cores))
 	m.stepCalls()
-	m.drained, m.lineStood = 0, len(m.line) > 0
+	m.drained, m.stood = 0, 0
 }
 
 func (m *Module) coresIdle(ratio float64) bool {
@@ -576,7 +592,7 @@
 		m.inCalls--
 		m.onCores++
 	case TimedOut:
-		m.linger()
+		m.callTime[m.callBucket%callBuckets] += m.set.CallLinger.Seconds()
 	}
 }
 
@@ -648,8 +664,7 @@
 	return sum <= m.callBudget
 }
 
-// stepCalls moves the call limit by the law of the running limit. The base
-// follows a dependency that has become slow for good.
+// stepCalls moves the call limit as the running one; the base follows what has become slow for good.
 func (m *Module) stepCalls() {
 	switch {
 	case m.called.slow() > callSlow:
@@ -662,7 +677,8 @@
 	m.callsShort = false
 }
 
-// countCalls adds the calls held since last time to the sliding window.
+// countCalls adds the calls held since last time to the sliding window, where an
+// abandoned call is booked for as long as it stays below.
 func (m *Module) countCalls() {
 	width := m.set.CallWindow / (callBuckets - 1)
 	if width <= 0 {
@@ -679,9 +695,6 @@
 	}
 }
 
-// linger books an abandoned call, which stays below for a while.
-func (m *Module) linger() { m.callTime[m.callBucket%callBuckets] += m.set.CallLinger.Seconds() }
-
 // ---- answer ----
 
 // Ended tells that a run, or a reuse, is over.
@@ -695,8 +708,8 @@
 	if r.state == running && o != Moot {
 		m.moved()
 	}
-	if r.state == running && !r.answered {
-		m.learn(r, o, took)
+	if r.state == running && !r.answered && o == OK {
+		m.learn(r, took)
 	}
 	if o == Cancelled && !r.answered { // stopped without an answer: it is still owed
 		m.leaveCores(r)
@@ -711,12 +724,11 @@
 	m.drop(r)
 }
 
-// learn takes a run into account. Only successes teach: fast errors look like speed.
-func (m *Module) learn(r *request, o Outcome, took time.Duration) {
-	if o != OK {
-		return
+// learn takes a success into account. Nothing else teaches: fast errors look like speed.
+func (m *Module) learn(r *request, took time.Duration) {
+	if m.waits {
+		m.drained++
 	}
-	m.drained++
 	p := &m.runs[r.Class]
 	if r.Hint > 0 {
 		dx, dy := r.Hint.Seconds()-m.hints[r.Class], took.Seconds()-p.mean
@@ -746,14 +758,13 @@
 // watch looks for a stall: many usual gaps went by without a sign of progress.
 func (m *Module) watch() {
 	if m.onCores == 0 {
-		m.progress = m.now
-		m.stalled = false
+		m.progress, m.stalled = m.now, false
 		return
 	}
 	_, usual := m.ratio()
 	quiet := m.now - m.progress
 	gaps := quiet.Seconds() * float64(m.onCores) / usual
-	if !m.stalled && usual > 0 && gaps > stallGaps && quiet > stallMin {
+	if !m.stalled && usual > 0 && gaps > stallGaps && quiet > m.span(stallMin) {
 		m.stalled = true
 		m.host.Log("no work moves: refusing")
 	}
@@ -796,8 +807,7 @@
 	m.stop(r)
 }
 
-// stop halts safe work whose answer is out. Keyed and unsafe work goes on: its
-// effect is wanted.
+// stop halts safe work whose answer is out. Keyed and unsafe work goes on: its effect is wanted.
 func (m *Module) stop(r *request) {
 	able := r.state == running && !r.over && m.set.Preemption != PreemptNone
 	if able && !r.halted && m.class(r).Effect == Safe {
@@ -815,8 +825,8 @@
 	if m.draining || m.stalled {
 		return longest
 	}
-	wait := adviceShare * (1 + adviceGrow*m.pressure) * float64(len(m.line)) / max(m.drainRate, m.limit)
-	return min(max(time.Duration(wait*float64(time.Second)), minAdvice), longest)
+	wait := adviceShare * (1 + adviceGrow*m.pressure) * float64(len(m.line)) / max(m.drainRate(), m.limit)
+	return min(max(time.Duration(wait*float64(time.Second)), m.span(minAdvice)), longest)
 }
 
 // Gone tells that nobody waits for a request any more.
@@ -864,7 +874,7 @@
 	case calling:
 		m.inCalls--
 		m.callsOut--
-		m.linger()
+		m.callTime[m.callBucket%callBuckets] += m.set.CallLinger.Seconds()
 	default:
 		return
 	}
@@ -925,34 +935,32 @@
 		}
 	}
 	m.swamp += swampAlpha * (max(m.runnable-float64(m.onCores), 0)/float64(m.set.Cores) - m.swamp)
+	m.pass()
 	m.watch()
 	if now >= m.stepAt {
-		m.step(now - m.stepAt + stepEvery)
-		m.stepAt = now + stepEvery
+		m.step(now - m.stepAt + m.span(stepEvery))
+		m.stepAt = now + m.span(stepEvery)
 	}
 	if now >= m.sayAt {
 		m.say()
-		m.sayAt = now + sayEvery
+		m.sayAt = now + m.span(sayEvery)
 	}
 	m.wake()
 }
 
+// span is a time of learning, shorter where all work and aims are.
+func (m *Module) span(t time.Duration) time.Duration { return time.Duration(m.quick * float64(t)) }
+
 func (m *Module) wake() {
 	m.wakeAt = m.now + beat
 	m.host.Wake(1, beat)
 }
 
-func (m *Module) forgetKeys() {
-	for id, e := range m.entries {
-		if e.expires < m.now {
-			delete(m.entries, id)
-		}
-	}
-}
-
 // say sets the free value and the health that callers are told.
 func (m *Module) say() {
-	m.forgetKeys()
+	maps.DeleteFunc(m.entries, func(_ RequestID, e *entry) bool { return e.expires < m.now })
+	old := m.now - idleShortest<<idleSteps
+	maps.DeleteFunc(m.lastFrom, func(_ uint32, at time.Duration) bool { return at < old })
 	m.closeIdle()
 	share := 0.0
 	if m.read > 0 {
@@ -960,17 +968,15 @@
 	}
 	if share > refusedOK {
 		m.pressure = min(m.pressure+pressureUp*share*(1-m.pressure), 0.95)
-	} else if m.pressure -= pressureDown; len(m.line) == 0 && m.onCores < int(m.limit) {
+	} else if m.pressure = max(m.pressure-pressureDown, 0); len(m.line) == 0 && m.onCores < int(m.limit) {
 		m.pressure *= pressureIdle
 	}
-	m.pressure = max(m.pressure, 0)
 	if m.read == 0 {
 		m.stale *= staleFade
 	}
 	m.read, m.overflow = 0, 0
-	// Callers had better go elsewhere while work does not move, while reading lags
-	// so far that most of it is old when read (a slow machine, a long accept
-	// queue), and while the node leaves.
+	// Callers had better go elsewhere while work does not move, while most of it is old when read (a
+	// slow machine, a long accept queue), and while the node leaves.
 	out := m.stalled || m.draining || m.stale > staleOver
 	if out == m.healthy {
 		m.healthy = !out
@@ -1001,19 +1007,13 @@
 func (m *Module) Settle(now time.Duration) {
 	m.now = now
 	m.countCalls()
+	m.pass()
 	m.expire()
 	m.decideCalls()
 	m.start()
 	m.shed()
-	m.lineStood = m.lineStood && len(m.line) > 0
-	keep := m.all[:0]
-	for _, r := range m.all {
-		if !r.over {
-			keep = append(keep, r)
-		}
-	}
-	clear(m.all[len(keep):])
-	m.all = keep
+	m.waits = len(m.line) > 0 && m.onCores >= int(min(m.limit, m.crowd())) && !m.stalled
+	m.all = slices.DeleteFunc(m.all, func(r *request) bool { return r.over })
 }
 
 func (m *Module) class(r *request) *Class { return &m.set.Classes[r.Class] }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -433,7 +433,7 @@
 			}
 			b.pass(25*ms, 1, 2)
 		}
-		if got := b.m.drainRate; (got > 1) != (o == OK) {
+		if got := b.m.rateCount; (got > 1) != (o == OK) {
 			t.Errorf("outcome %v taught a drain rate of %.1f", o, got)
 		}
 	}
@@ -583,7 +583,7 @@
 		b.arrive(0, nil)
 	}
 	b.settle()
-	b.m.limit, b.m.drainRate = 12, 20
+	b.m.limit, b.m.rateTime, b.m.rateCount = 12, 1, 20
 	b.m.say()
 	calm, credit := b.m.advice(), b.say
 	b.m.read, b.m.overflow, b.m.pressure = 100, 60, 0.9
@@ -605,7 +605,8 @@
 		b.settle()
 	}
 	b.arrive(3, nil)
-	b.arrive(3, nil) // both cores busy
+	b.m.rateTime, b.m.rateCount = 1, 1 // a slow drain, known: the line holds no more than the slots
+	b.arrive(3, nil)                   // both cores busy
 	b.settle()
 	greedy := b.arrive(0, func(q *Request) { q.Tenant = 0 })
 	b.arrive(0, func(q *Request) { q.Tenant = 1 })
@@ -934,3 +935,79 @@
 		}
 	}
 }
+
+// Bursts that are over within a step must teach the bound too: where runs take a
+// few milliseconds no line ever stands for a whole step, a bound learned only
+// from those stays at the slots, and one refusal in a burst keeps a caller away
+// for longer than the burst. It could harm where short runs say nothing of long
+// ones: the rate is then too high until slots were short for a step.
+func TestShortBurstsTeachTheBound(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.Tick = ms })
+	for range 60 { // two cores, runs of 5 ms, a burst of ten every 25 ms
+		for range 10 {
+			b.arrive(0, nil)
+		}
+		for b.now += ms; len(b.m.line) > 0 || b.m.onCores > 0; b.now += 5 * ms {
+			b.settle()
+			for _, r := range append([]*request(nil), b.m.all...) {
+				if r.state == running {
+					b.m.Ended(b.now+5*ms, r.ID, OK, 5*ms)
+				}
+			}
+		}
+		b.pass(max(b.wake-b.now, 0), 0.5, 1)
+	}
+	if got := b.m.drainRate(); got < 200 || got > 800 {
+		t.Errorf("two slots and runs of 5 ms drain %.0f a second", got)
+	}
+	if got := b.m.bound(); got < 100 {
+		t.Errorf("a bound of %d", got)
+	}
+	b.acts = nil
+	for range 80 { // half a second of work, well before its aim
+		b.arrive(0, nil)
+	}
+	b.settle()
+	for _, act := range b.acts {
+		if act != "run 601" && act != "run 602" {
+			t.Errorf("%s, though all fits", act)
+		}
+	}
+}
+
+// Where aims and work are short, learning must be as much quicker: a bound that
+// takes eight seconds to be known refuses through a third of a short release.
+func TestShortAimsAreLearnedFaster(t *testing.T) {
+	steps := func(aim time.Duration) (n int) {
+		b := newBed(t, func(s *Settings) { s.Classes[0].Aim = aim })
+		for range 40 {
+			at := b.m.stepAt
+			b.pass(25 * ms)
+			if b.m.stepAt != at {
+				n++
+			}
+		}
+		return n
+	}
+	if long, short := steps(2500*ms), steps(500*ms); long != 10 || short < 3*long {
+		t.Errorf("%d steps at a long aim, %d at a short one", long, short)
+	}
+}
+
+// Callers' numbers are always new: what is remembered of them must end, by time
+// and by count.
+func TestCallersAreForgotten(t *testing.T) {
+	b := newBed(t, nil)
+	for i := range 2 * mostCallers {
+		id := b.arrive(0, func(q *Request) { q.Caller = uint32(i) })
+		b.m.Gone(b.now, id)
+		b.settle()
+	}
+	if n := len(b.m.lastFrom); n != mostCallers {
+		t.Errorf("%d callers remembered", n)
+	}
+	b.pass(70 * time.Second)
+	if n := len(b.m.lastFrom); n != 0 {
+		t.Errorf("%d callers remembered for a minute", n)
+	}
+}
