--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -227,6 +227,10 @@
 		if time.Since(began) > time.Second {
 			wait = backoffMin
 		}
+		if end == stream.LeftByUs {
+			l.log.Info("worker pool link moved", "runs", l.Runs())
+			continue
+		}
 		if links := l.Counters.Links.Load(); links != logged || time.Since(at) > downGap {
 			logged, at = links, time.Now()
 			l.log.Warn("worker pool link ended", "end", end.String(), "err", err, "runs", l.Runs())
@@ -236,21 +240,12 @@
 		case <-l.moved:
 			wait = backoffMin
 			continue
-		case <-time.After(nextTry(end, wait)):
+		case <-time.After(wait):
 		}
 		wait = min(2*wait, backoffMax)
 	}
 }
 
-// nextTry is the pause before the next try to connect, none if this side ended
-// the link in favour of another.
-func nextTry(end stream.End, wait time.Duration) time.Duration {
-	if end == stream.LeftByUs {
-		return 0
-	}
-	return wait
-}
-
 // Runs is the number of runs asked for and not known to be over.
 func (l *Link) Runs() int {
 	l.mu.Lock()
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -66,6 +66,7 @@
 	staleOver     = 0.7                    // stale share from which callers are sent elsewhere
 	staleFade     = 0.97                   // of the stale share stays a say without reads: then tried again
 	creditPart    = 0.6                    // of an even split is a caller's credit at full pressure
+	leaveShare    = 0.9                    // of the drain's grace passes before callers are sent elsewhere
 	weightPart    = 0.8                    // of the pressure that the weight passes on
 	idleWorth     = 6 * time.Second        // open and idle this long, a connection costs as much as a new one
 	idleShortest  = 250 * time.Millisecond // shortest idle limit considered: longer than a round trip
@@ -251,7 +252,8 @@
 	}
 	m.setTimes(r)
 	r.overdue = m.overShare(r)
-	if m.tooLateToRun(r) || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
+	late := m.draining && r.arrived > m.notice+m.set.DrainGrace-m.margin() // it must not run any more
+	if late || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 		m.turnAway(r, false)
 		return
 	}
@@ -476,8 +478,7 @@
 		done := min(1, float64(m.now-m.born)/float64(m.set.Ramp))
 		speed = m.set.ColdFrom + (1-m.set.ColdFrom)*done
 	}
-	mult := max(m.set.FallMultiple, 1)
-	return max(1, crowdMargin*float64(m.set.Cores)*(1+(mult-1)*speed))
+	return max(1, crowdMargin*float64(m.set.Cores)*(1+(max(m.set.FallMultiple, 1)-1)*speed))
 }
 
 // next is the place of the request that gets a free slot: the oldest, but while
@@ -822,7 +823,7 @@
 		return 0
 	}
 	longest := max(m.set.MaxRetryAfter, 0)
-	if m.draining || m.stalled {
+	if m.leaving() || m.stalled {
 		return longest
 	}
 	wait := adviceShare * (1 + adviceGrow*m.pressure) * float64(len(m.line)) / max(m.drainRate(), m.limit)
@@ -910,9 +911,9 @@
 	}
 }
 
-// tooLateToRun reports whether a request came past the drain's grace.
-func (m *Module) tooLateToRun(r *request) bool {
-	return m.draining && r.arrived > m.notice+m.set.DrainGrace-2*m.set.Tick-beat
+// leaving reports whether callers had better go elsewhere: for most of the grace they still may come.
+func (m *Module) leaving() bool {
+	return m.draining && float64(m.now-m.notice) > leaveShare*float64(m.set.DrainGrace)
 }
 
 // ---- the node as a whole ----
@@ -976,8 +977,8 @@
 	}
 	m.read, m.overflow = 0, 0
 	// Callers had better go elsewhere while work does not move, while most of it is old when read (a
-	// slow machine, a long accept queue), and while the node leaves.
-	out := m.stalled || m.draining || m.stale > staleOver
+	// slow machine, a long accept queue), and at the end of a drain's grace.
+	out := m.stalled || m.stale > staleOver || m.leaving()
 	if out == m.healthy {
 		m.healthy = !out
 		m.host.SetHealth(true, !out)
