--- a/rules/rules.go
+++ b/rules/rules.go
@@ -913,7 +913,7 @@
 
 // leaving reports whether callers had better go elsewhere: for most of the grace they still may come.
 func (m *Module) leaving() bool {
-	return m.draining && float64(m.now-m.notice) > leaveShare*float64(m.set.DrainGrace)
+	return m.draining && float64(m.now-m.notice) >= leaveShare*float64(m.set.DrainGrace)
 }
 
 // ---- the node as a whole ----
