--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,6 +25,7 @@
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
 	limitGrow     = 1.03                   // growth a step while cores idle with work held
+	startGrow     = 4.0                    // times that growth until the limit first met crowding: it starts far below
 	limitAdd      = 0.08                   // least growth a step: a small limit gets on too
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
@@ -527,7 +528,11 @@
 	ratio, _ := m.ratio()
 	switch {
 	case share > 0 && m.coresIdle(ratio):
-		m.limit += share * max(limitAdd, m.limit*(limitGrow-1))
+		grow := limitGrow - 1
+		if m.runnable >= 0 && m.runnable < float64(m.set.Cores)/2 {
+			grow *= startGrow
+		}
+		m.limit += share * max(limitAdd, m.limit*grow)
 	case ratio > slowRatio && !m.coresIdle(ratio): // waits, not crowding, make runs long on idle cores
 		m.limit *= limitShrink
 	}
