--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,7 @@
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
 	limitGrow     = 1.03                   // growth a step while cores idle with work held
-	startGrow     = 4.0                    // times that growth until the limit first met crowding: it starts far below
+	limitGrowFar  = 1.12                   // the same while half the cores want no run: a start is far below
 	limitAdd      = 0.08                   // least growth a step: a small limit gets on too
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
@@ -527,12 +527,10 @@
 	m.rateCount += m.drained - rateAlpha*share*m.rateCount
 	ratio, _ := m.ratio()
 	switch {
+	case share > 0 && m.runnable >= 0 && m.runnable < float64(m.set.Cores)/2:
+		m.limit += share * m.limit * (limitGrowFar - 1)
 	case share > 0 && m.coresIdle(ratio):
-		grow := limitGrow - 1
-		if m.runnable >= 0 && m.runnable < float64(m.set.Cores)/2 {
-			grow *= startGrow
-		}
-		m.limit += share * max(limitAdd, m.limit*grow)
+		m.limit += share * max(limitAdd, m.limit*(limitGrow-1))
 	case ratio > slowRatio && !m.coresIdle(ratio): // waits, not crowding, make runs long on idle cores
 		m.limit *= limitShrink
 	}
@@ -594,9 +592,7 @@
 	}
 	switch o {
 	case OK:
-		r.state = running
-		m.inCalls--
-		m.onCores++
+		r.state, m.inCalls, m.onCores = running, m.inCalls-1, m.onCores+1
 	case TimedOut:
 		m.callTime[m.callBucket%callBuckets] += m.set.CallLinger.Seconds()
 	}
@@ -640,9 +636,7 @@
 			m.callsShort = true
 		case c.SkipWorth > 0:
 			m.callsShort = true
-			m.inCalls--
-			m.onCores++
-			r.state = running
+			r.state, m.inCalls, m.onCores = running, m.inCalls-1, m.onCores+1
 			m.host.Skip(r.ID)
 		}
 	}
