--- a/rules/rules.go
+++ b/rules/rules.go
@@ -404,17 +404,24 @@
 }
 
 func (m *Module) hopeless(r *request) bool {
+	if m.onCores < m.set.Cores && m.coresIdle(1) { // it would run faster than usual, and costs nobody
+		return m.leaves(r) < idleRunShare/m.runs[r.Class].slow()
+	}
+	return m.leaves(r) < minRunShare
+}
+
+// leaves is how many usual runs fit before an answer is worth little.
+func (m *Module) leaves(r *request) float64 {
 	left := min(r.aim, r.due-m.margin()) - m.now
 	if m.class(r).LateShare > 0 {
 		left = r.due - m.margin() - m.now
 	}
-	need := minRunShare * float64(m.usualRun(r))
-	if m.onCores < m.set.Cores && m.coresIdle(1) { // it would run faster than usual, and costs nobody
-		need = idleRunShare * float64(m.usualRun(r)) / m.runs[r.Class].slow()
-	}
-	return float64(left) < need
+	return float64(left) / float64(max(m.usualRun(r), 1))
 }
 
+// forlorn reports whether no other node could serve it either: not even a run at base speed fits.
+func (m *Module) forlorn(r *request) bool { return m.leaves(r) < minRunShare/m.runs[r.Class].slow() }
+
 // usualRun is how long a request runs at present: its class's mean, moved by its
 // own hint along a slope over all classes: one class may have a few odd runs.
 func (m *Module) usualRun(r *request) time.Duration {
@@ -502,7 +509,7 @@
 		i := m.next()
 		r := m.line[i]
 		if m.tooOld(r) {
-			m.turnAway(r, true)
+			m.turnAway(r, m.forlorn(r))
 			continue
 		}
 		grown := r.KB * (m.set.RunFactor - 1)
@@ -857,7 +864,7 @@
 		}
 		switch {
 		case r.state == held && (late || m.tooOld(r)):
-			m.turnAway(r, true)
+			m.turnAway(r, late || m.forlorn(r))
 		case late:
 			m.giveUp(r)
 		}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1016,3 +1016,21 @@
 		t.Errorf("%d callers remembered for a minute", n)
 	}
 }
+
+// A node that has become slow refuses at once what it can't finish; another node
+// may well serve that, so its caller must not be told to try no other. Only what
+// has no time left for a run at base speed is lost everywhere. It could harm
+// where all nodes are slow for the same reason: their callers walk once more.
+func TestSlowNodeSendsFreshRequestsElsewhere(t *testing.T) {
+	b := newBed(t, nil)
+	b.m.runs[0] = pace{mean: 2, base: 0.1, n: 100} // a run takes two of the 2.5 s
+	b.m.cpuBusy, b.m.runnable = 1, 9
+	b.arrive(3, nil)
+	b.arrive(3, nil) // both cores busy
+	b.settle()
+	fresh := b.arrive(0, nil)
+	old := b.arrive(0, func(q *Request) { q.Age = 2400 * ms })
+	b.settle()
+	b.want(fmt.Sprint("refuse ", fresh), fmt.Sprint("refuse ", old), fmt.Sprint("last ", old))
+	b.wantNot(fmt.Sprint("last ", fresh))
+}
