--- a/rules/rules.go
+++ b/rules/rules.go
@@ -183,8 +183,7 @@
 
 	wakeAt, stepAt, sayAt time.Duration
 	read, overflow        int // since the last say
-	pressure              float64
-	said                  float64
+	pressure, said        float64
 	healthy               bool
 	stale                 float64 // share of requests that were old when read
 
@@ -894,9 +893,7 @@
 		return
 	}
 	m.leaveCores(r)
-	if i := slices.Index(m.line, r); r.state == held && i >= 0 {
-		m.line = slices.Delete(m.line, i, i+1)
-	}
+	m.line = slices.DeleteFunc(m.line, func(o *request) bool { return o == r })
 	m.memory -= r.KB
 	r.over = true
 	delete(m.byID, r.ID)
@@ -908,9 +905,8 @@
 func (m *Module) Drain(now time.Duration, left time.Duration) {
 	m.now = now
 	if !m.draining {
-		m.notice = now
+		m.draining, m.notice = true, now
 	}
-	m.draining = true
 	m.stopAt = now + max(left-2*m.set.Tick, 0)
 	for _, r := range m.all {
 		r.due = min(r.due, m.stopAt)
