Ask again only for runs the pool may not have heard of; unknown commands are no sign of work

Now polls carry the number of the last run asked for; a run is left alone if a poll after it was answered and it went out 100 ms or more before the break (the protocol may lose the last 50). Lost notices void that knowledge.

A spawn that the pool rejects, as those of strangers' ids are, ended as an error, and the module takes errors for a sign that work moves: strangers could put off the detection of a hang. It now ends as never started.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -14,6 +14,7 @@
 	"net"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 	boundLimit  = 15 * time.Second       // the same while the worker pool is awaited
 	complainGap = 2 * time.Second        // between log lines about bad input
 	downGap     = 5 * time.Second        // between log lines while the worker pool is away
+	lostTail    = 100 * time.Millisecond // commands sent so shortly before a break may not have been read
 )
 
 // End is how a run ended.
@@ -75,7 +77,8 @@
 type run struct {
 	x       *exchange.Exchange
 	order   uint64
-	sent    bool // it may have reached the worker pool
+	sent    bool      // it may have reached the worker pool
+	at      time.Time // when it was sent last
 	stopped bool
 }
 
@@ -97,8 +100,10 @@
 	ready bool         // the replay was taken: commands may go out
 	runs  map[string]*run
 	order uint64
-	last  int64 // number of the last notice read
-	tries int   // links so far, names the replay's end
+	heard uint64    // runs up to this order were read by the worker pool
+	broke time.Time // when the last link ended
+	last  int64     // number of the last notice read
+	tries int       // links so far, names the replay's end
 
 	complained time.Time
 	muted      int
@@ -174,7 +179,7 @@
 }
 
 func (l *Link) spawn(r *run) {
-	r.sent = true
+	r.sent, r.at = true, time.Now()
 	body := r.x.Body
 	if body == nil {
 		body = []byte{}
@@ -210,7 +215,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.ready {
-		send(l.conn, command{Op: "poll", Tag: "g"})
+		send(l.conn, command{Op: "poll", Tag: "g" + strconv.FormatUint(l.order, 10)})
 	}
 }
 
@@ -278,7 +283,7 @@
 	send(c, command{Op: "bind", Seq: &last})
 	err = l.read(c)
 	l.mu.Lock()
-	l.conn, l.ready = nil, false
+	l.conn, l.ready, l.broke = nil, false, time.Now()
 	l.mu.Unlock()
 	c.Shut(stream.EndOf(err, stream.ReadFailed))
 	<-c.Done()
@@ -403,9 +408,10 @@
 		l.fresh(n)
 	case "polled":
 		l.mu.Lock()
-		replayed := !l.ready && n.Tag == l.barrier()
-		if replayed {
+		if !l.ready && n.Tag == l.barrier() {
 			l.resume()
+		} else if order, err := strconv.ParseUint(strings.TrimPrefix(n.Tag, "g"), 10, 64); err == nil && order <= l.order {
+			l.heard = max(l.heard, order) // commands are read in order: those before the poll were
 		}
 		l.mu.Unlock()
 		l.sink.Polled(n.Values)
@@ -438,7 +444,8 @@
 }
 
 // resume says again what the worker pool may not have heard, and lets new
-// commands go out; the lock must be held.
+// commands go out; the lock must be held. A run that it is known to have heard of
+// is not asked for again: one that ended since the replay would run twice.
 func (l *Link) resume() {
 	l.ready = true
 	again := make([]*run, 0, len(l.runs))
@@ -447,10 +454,12 @@
 	}
 	slices.SortFunc(again, func(a, b *run) int { return cmp.Compare(a.order, b.order) })
 	for _, r := range again {
-		if r.sent {
-			l.Counters.Respawns.Add(1)
+		if !r.sent || r.order > l.heard || l.broke.Sub(r.at) < lostTail {
+			if r.sent {
+				l.Counters.Respawns.Add(1)
+			}
+			l.spawn(r)
 		}
-		l.spawn(r)
 		if r.stopped {
 			send(l.conn, command{Op: "suspend", ID: r.x.Txn})
 		}
@@ -480,6 +489,7 @@
 func (l *Link) gap(missed int64) {
 	l.Counters.Gaps.Add(missed)
 	l.mu.Lock()
+	l.heard = 0 // what was heard of may have ended unnoticed
 	var lost []*run
 	for id, r := range l.runs {
 		if r.sent && !r.x.Safe {
@@ -528,8 +538,8 @@
 	}
 	if r := l.take(n.ID); r != nil {
 		l.Counters.Rejected.Add(1)
-		l.Counters.Finished[Error].Add(1)
-		l.sink.Finished(r.x, Error, 0, nil)
+		l.Counters.Finished[Moot].Add(1)
+		l.sink.Finished(r.x, Moot, 0, nil) // an error would pass for a sign of work during a hang
 	}
 }
 
