--- a/rules/rules.go
+++ b/rules/rules.go
@@ -29,6 +29,7 @@
 	limitAdd      = 0.08                   // least growth a step: a small limit gets on too
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
+	idleWanted    = 2.0                    // what wants a core, for each, from which that share is not believed
 	idleBelow     = 0.95                   // share of busy cores under which they count as idle
 	crowdMargin   = 0.85                   // of the crowd known to be survived: room for returns from calls
 	memoryMargin  = 0.88                   // of the memory: room for what is read meanwhile
@@ -432,11 +433,10 @@
 	if r.Hint > 0 && m.hintVar > 0 {
 		t = max(t+max(m.hintCov/m.hintVar, 0)*(r.Hint.Seconds()-m.hints[r.Class]), t/10)
 	}
-	usual := time.Duration(t * float64(time.Second))
 	if l.n < learnRuns {
-		usual = min(usual, m.class(r).Deadline/8)
+		t = min(t, m.class(r).Deadline.Seconds()/8)
 	}
-	return usual
+	return time.Duration(t * float64(time.Second))
 }
 
 // worth is what serving a request earns. A marked retry may be late already: its
@@ -462,8 +462,7 @@
 
 // shed cuts the line to its bound: who earns least leaves, of equals the newest.
 func (m *Module) shed() {
-	bound := m.bound()
-	for len(m.line) > bound {
+	for bound := m.bound(); len(m.line) > bound; {
 		worst := len(m.line) - 1
 		for i := worst - 1; i >= 0; i-- {
 			if m.value(m.line[i]) < m.value(m.line[worst]) {
@@ -549,7 +548,8 @@
 	if m.cpuBusy < 0 && m.runnable < 0 {
 		return ratio < (1+slowRatio)/2
 	}
-	return m.runnable >= 0 && m.runnable < float64(m.set.Cores) || m.cpuBusy >= 0 && m.cpuBusy < idleBelow
+	wanted := m.runnable / float64(m.set.Cores) // as of now, while the busy share lags by a second or so
+	return m.runnable >= 0 && wanted < 1 || m.cpuBusy >= 0 && m.cpuBusy < idleBelow && wanted < idleWanted
 }
 
 // ratio is the mean over the classes that have one of run latency over base,
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1034,3 +1034,25 @@
 	b.want(fmt.Sprint("refuse ", fresh), fmt.Sprint("refuse ", old), fmt.Sprint("last ", old))
 	b.wantNot(fmt.Sprint("last ", fresh))
 }
+
+// The busy share is a mean over a second or so, what wants a core is as of now. In
+// a burst after a quiet spell the first still says idle while the second says
+// crowded: growth on its word would run the limit up to the crowd that the node
+// barely survives. It could harm where the gauge of runnable work counts what
+// wants no core.
+func TestLaggingBusyShareGrowsNoLimit(t *testing.T) {
+	for _, tc := range []struct {
+		runnable float64
+		grows    bool
+	}{{1, true}, {3, true}, {8, false}} { // two cores
+		b := newBed(t, nil)
+		for range 30 {
+			b.arrive(0, nil)
+		}
+		b.settle()
+		b.pass(time.Second, 0.6, tc.runnable)
+		if grew := b.m.limit > 2; grew != tc.grows {
+			t.Errorf("%.0f runnable on two cores: a limit of %.1f", tc.runnable, b.m.limit)
+		}
+	}
+}
