--- a/rules/rules.go
+++ b/rules/rules.go
@@ -105,7 +105,7 @@
 	aim      time.Duration // an answer later than this is worth little
 	started  time.Duration // its last run
 	due      time.Duration // its answer must be out before this
-	excused  time.Duration // age that a process pause added
+	old      time.Duration // held beyond this it has waited too long
 	calls    int           // calls made for the present need
 	lastCall Outcome
 }
@@ -310,6 +310,7 @@
 		r.due = m.now + r.Patience
 	}
 	r.due = min(r.due, m.stopAt)
+	r.old = r.arrived + time.Duration(ageShare*float64(c.Deadline))
 	r.aim = r.arrived + c.Aim
 	if c.AimStretch > 0 {
 		work := r.Hint
@@ -400,7 +401,7 @@
 // tooOld reports whether a held request may not wait longer: its age limit has
 // passed, or what is left before its aim is too short to run it.
 func (m *Module) tooOld(r *request) bool {
-	return float64(m.now-r.arrived-r.excused) > ageShare*float64(m.class(r).Deadline) || m.hopeless(r)
+	return m.now > r.old || m.hopeless(r)
 }
 
 func (m *Module) hopeless(r *request) bool {
@@ -507,7 +508,7 @@
 		i := m.next()
 		r := m.line[i]
 		if m.tooOld(r) {
-			m.turnAway(r, m.forlorn(r))
+			m.turnAway(r, m.now > r.old || m.forlorn(r))
 			continue
 		}
 		grown := r.KB * (m.set.RunFactor - 1)
@@ -607,9 +608,6 @@
 // decideCalls gives each request at a call its word, the dearest to leave out
 // first. What finds no room waits in a line bounded like the other, or skips.
 func (m *Module) decideCalls() {
-	if m.inCalls == m.callsOut {
-		return
-	}
 	var wait []*request
 	for _, r := range m.all {
 		if !r.over && !r.answered && r.state == atCall {
@@ -863,7 +861,7 @@
 		}
 		switch {
 		case r.state == held && (late || m.tooOld(r)):
-			m.turnAway(r, late || m.forlorn(r))
+			m.turnAway(r, late || m.now > r.old || m.forlorn(r))
 		case late:
 			m.giveUp(r)
 		}
@@ -934,7 +932,7 @@
 	if late := now - m.wakeAt; late > pauseOver { // the process stood still: nobody's fault here
 		m.progress += late
 		for _, r := range m.line {
-			r.excused += late
+			r.old += late
 		}
 	}
 	m.swamp += swampAlpha * (max(m.runnable-float64(m.onCores), 0)/float64(m.set.Cores) - m.swamp)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1056,3 +1056,15 @@
 		}
 	}
 }
+
+// What has waited past its age limit has used up what a walk to other nodes would
+// take: it is told to try no other, however fast one might be.
+func TestAgedOutTriesNoOther(t *testing.T) {
+	b := newBed(t, nil)
+	b.arrive(3, nil)
+	b.arrive(3, nil) // both cores busy
+	b.settle()
+	a := b.arrive(0, nil)
+	b.pass(1100*ms, 1, 9) // 0.12 of 8 s, with time left for a run
+	b.want(fmt.Sprint("refuse ", a), fmt.Sprint("last ", a))
+}
