--- a/rules/rules.go
+++ b/rules/rules.go
@@ -182,11 +182,11 @@
 	callBucket uint64               // unsigned: the clock may be below zero, an index may not
 	callSeen   time.Duration
 
-	wakeAt, stepAt, sayAt time.Duration
-	read, overflow        int // since the last say
-	pressure, said        float64
-	healthy               bool
-	stale                 float64 // share of requests that were old when read
+	wakeAt, stepped, saidAt time.Duration
+	read, overflow          int // since the last say
+	pressure, said          float64
+	healthy                 bool
+	stale                   float64 // share of requests that were old when read
 
 	swamp    float64                  // what wants a core besides runs, for each core, smoothed
 	door     time.Duration            // until then tables may fill
@@ -222,7 +222,7 @@
 		runs: make([]pace, len(set.Classes)), hints: make([]float64, len(set.Classes)),
 		sent: make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
 		lastFrom: map[uint32]time.Duration{},
-		callSeen: now, stepAt: now + stepEvery, sayAt: now + sayEvery, said: -1, healthy: true,
+		callSeen: now, stepped: now, saidAt: now, said: -1, healthy: true,
 		stopAt: math.MaxInt64, quick: min(float64(shortest)/float64(usualAim), 1),
 		idleSaid: set.KeepaliveMax, door: now, // a clock below zero is no swamp
 	}
@@ -938,13 +938,13 @@
 	m.swamp += swampAlpha * (max(m.runnable-float64(m.onCores), 0)/float64(m.set.Cores) - m.swamp)
 	m.pass()
 	m.watch()
-	if now >= m.stepAt {
-		m.step(now - m.stepAt + m.span(stepEvery))
-		m.stepAt = now + m.span(stepEvery)
+	if dt := now - m.stepped; dt > m.span(stepEvery)-beat/2 { // at the nearest beat
+		m.step(dt)
+		m.stepped = now
 	}
-	if now >= m.sayAt {
+	if now-m.saidAt > m.span(sayEvery)-beat/2 {
 		m.say()
-		m.sayAt = now + m.span(sayEvery)
+		m.saidAt = now
 	}
 	m.wake()
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -986,9 +986,9 @@
 	steps := func(aim time.Duration) (n int) {
 		b := newBed(t, func(s *Settings) { s.Classes[0].Aim = aim })
 		for range 40 {
-			at := b.m.stepAt
+			at := b.m.stepped
 			b.pass(25 * ms)
-			if b.m.stepAt != at {
+			if b.m.stepped != at {
 				n++
 			}
 		}
