--- a/rules/rules.go
+++ b/rules/rules.go
@@ -25,7 +25,7 @@
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
 	limitGrow     = 1.03                   // growth a step while cores idle with work held
-	limitGrowFar  = 1.12                   // the same while half the cores want no run: a start is far below
+	limitGrowFar  = 1.25                   // the same while half the cores want no run: a start is far below
 	limitAdd      = 0.08                   // least growth a step: a small limit gets on too
 	limitShrink   = 0.95                   // shrink a step while runs take too long
 	slowRatio     = 1.3                    // run latency over base that counts as crowded
