Take no configuration that differs in more than the addresses; unanswered reports are no failure

A new file that asks for another listen address, limits or settings was half taken; now it is refused in one line and the node serves on.

--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -7,7 +7,6 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -15,6 +14,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync"
@@ -161,20 +161,21 @@
 }
 
 // readdress takes up the addresses of a configuration that was replaced. One
-// that can't be used changes nothing: whoever wrote it is told, and the node
-// serves on with what it has. All else in it takes a start, and is left alone.
+// that can't be used, or asks for what takes a restart, changes nothing: whoever
+// wrote it is told, and the node serves on with what it has.
 func (p *parts) readdress() {
 	cfg, err := p.reload()
 	if err != nil {
 		p.log.Error("new configuration not taken", "err", err)
 		return
 	}
-	p.log.Info("new configuration", "pool", cfg.Pool, "members", cfg.Members,
-		"pool_moves", cfg.Pool != p.cfg.Pool, "members_move", cfg.Members != p.cfg.Members)
 	if cfg.Name != p.cfg.Name || cfg.Listen != p.cfg.Listen || cfg.StopMs != p.cfg.StopMs || cfg.Limits != p.cfg.Limits ||
-		!bytes.Equal(cfg.Settings, p.cfg.Settings) {
-		p.log.Warn("only the addresses of the worker pool and the membership service are taken without a restart")
+		!reflect.DeepEqual(cfg.set, p.cfg.set) || !reflect.DeepEqual(cfg.names, p.cfg.names) {
+		p.log.Error("new configuration not taken", "err", "more than the pool and members addresses differs: that takes a restart")
+		return
 	}
+	p.log.Info("new configuration", "pool", cfg.Pool, "members", cfg.Members,
+		"pool_moves", cfg.Pool != p.cfg.Pool, "members_move", cfg.Members != p.cfg.Members)
 	p.cfg.Pool, p.cfg.Members = cfg.Pool, cfg.Members
 	p.pool.Move(cfg.Pool)
 	p.report.Move(cfg.Members)
--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -410,6 +410,14 @@
 	s.signals <- syscall.SIGHUP
 	standin.Eventually(t, "a file refused", func() bool { return s.log.line("new configuration not taken") != nil })
 
+	s.log.mu.Lock()
+	s.log.b.Reset()
+	s.log.mu.Unlock()
+	other := strings.Replace(good, `"stop_ms":3000`, `"stop_ms":2000`, 1)
+	s.config.Store(&other)
+	s.signals <- syscall.SIGHUP
+	standin.Eventually(t, "a restart asked for", func() bool { return s.log.line("new configuration not taken") != nil })
+
 	next := s.workers.listen()
 	members := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.moved.Add(1)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -113,7 +114,12 @@
 		if err != nil {
 			r.Failed.Add(1)
 			if !failing || time.Since(logged) > logGap {
-				r.log.Warn("report to the membership service failed", "err", err, "failed", r.Failed.Load())
+				level, what := slog.LevelWarn, "report to the membership service failed"
+				var ne net.Error
+				if errors.As(err, &ne) && ne.Timeout() { // it may count all the same
+					level, what = slog.LevelInfo, "report to the membership service was not answered"
+				}
+				r.log.Log(ctx, level, what, "err", err, "failed", r.Failed.Load())
 				logged = time.Now()
 			}
 			pause, wait = wait, min(2*wait, backoffMax)
