--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -42,6 +42,7 @@
 			"error", k.Counters.Finished[pool.Error].Load(), "cancelled", k.Counters.Finished[pool.Cancelled].Load(),
 			"moot", k.Counters.Finished[pool.Moot].Load(), "rejected", k.Counters.Rejected.Load(),
 			"running", k.Runs(), "bad_lines", k.Counters.Bad.Load(), "lost_notices", k.Counters.Gaps.Load(),
+			"repeated_notices", k.Counters.Repeated.Load(),
 			traffic(&k.Traffic)),
 		slog.Group("members", "sent", p.report.Sent.Load(), "failed", p.report.Failed.Load(), traffic(&p.report.Traffic)),
 		slog.Group("process",
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -71,6 +71,7 @@
 	Rejected atomic.Int64    // spawns that were not carried out
 	Bad      atomic.Int64    // lines that made no sense
 	Gaps     atomic.Int64    // notices that were lost
+	Repeated atomic.Int64    // notices that came again
 }
 
 // run is a run that was asked for and is not known to be over.
@@ -224,12 +225,12 @@
 	defer l.dropNext()
 	wait, logged, at := backoffMin, int64(-1), time.Time{}
 	for ctx.Err() == nil {
-		began := time.Now()
+		before := l.Counters.Links.Load()
 		end, err := l.once(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if time.Since(began) > time.Second {
+		if l.Counters.Links.Load() != before { // it was up, however shortly
 			wait = backoffMin
 		}
 		if end == stream.LeftByUs {
@@ -475,7 +476,7 @@
 	}
 	l.mu.Unlock()
 	if n.Seq <= last {
-		l.complain("repeated notice from the worker pool", "seq", n.Seq, "last", last)
+		l.Counters.Repeated.Add(1) // the protocol has them
 		return false
 	}
 	if n.Seq > last+1 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -431,3 +431,14 @@
 		}
 	})
 }
+
+// Notices that come twice are part of the protocol: counted, not complained of.
+func TestRepeatedNoticesAreNoComplaint(t *testing.T) {
+	l, _, w := start(t)
+	w.open(1, 0)
+	w.say(`{"op":"chatter","seq":1,"end":""}`, `{"op":"chatter","seq":1,"end":""}`, `{"op":"sing"}`)
+	standin.Eventually(t, "all lines", func() bool { return l.Counters.Bad.Load() > 0 })
+	if l.Counters.Repeated.Load() != 1 || l.Counters.Bad.Load() != 1 {
+		t.Errorf("%d repeated, %d bad", l.Counters.Repeated.Load(), l.Counters.Bad.Load())
+	}
+}
