robinmastctl rehearse: fleets of real processes with a fault proxy on every link

Need: harm that nodes do together is seen in no single process. internal/standin/fleet starts nodes and control services as children, a stand-in pool for each, dispatchers that route, walk, probe and reconnect, desktops that try again, and a fault proxy on every link; scenarios are INI files, schedules replay by seed, and everything is counted from outside.

--- a/cmd/robinmastctl/main.go
+++ b/cmd/robinmastctl/main.go
@@ -38,7 +38,7 @@
 		Args:          cobra.NoArgs,
 		RunE:          func(c *cobra.Command, _ []string) error { return c.Help() },
 	}
-	root.AddCommand(storeCommand(), tryCommand())
+	root.AddCommand(storeCommand(), tryCommand(), rehearseCommand())
 	root.AddCommand(fleetCommands()...)
 	root.SetArgs(args)
 	root.SetIn(in)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -385,6 +385,24 @@
 	return "0B"
 }
 
+// Places tells on which lines sections and keys stand.
+type Places struct{ p places }
+
+// Line is where a key stands, else its section, else 0.
+func (p Places) Line(section, key string) int {
+	if n := p.p.line(section, key); n > 0 {
+		return n
+	}
+	return p.p.section[section]
+}
+
+// Locate finds the lines of another INI file of ours, and what the library would
+// take in silence.
+func Locate(name string, text []byte) (Places, []Fault) {
+	p, faults := locate(name, text)
+	return Places{p}, faults
+}
+
 // places tells on which lines sections and keys stand.
 type places struct {
 	section map[string]int
--- /dev/null
+++ b/internal/standin/fleet/child.go
@@ -0,0 +1,285 @@
+// This file owns the processes that a rehearsal starts: their files, their start,
+// signals and end. It must never end a process that it did not start.
+
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// starter starts children from one thread that lasts as long as they may: each of
+// them is killed by the kernel should this process end, however it ends.
+type starter struct {
+	jobs chan func()
+	done chan struct{}
+}
+
+func newStarter() *starter {
+	s := &starter{jobs: make(chan func()), done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		runtime.LockOSThread()
+		for f := range s.jobs {
+			f()
+		}
+	}()
+	return s
+}
+
+func (s *starter) start(c *exec.Cmd) (err error) {
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	ready := make(chan struct{})
+	s.jobs <- func() { err = c.Start(); close(ready) }
+	<-ready
+	return err
+}
+
+func (s *starter) end() { close(s.jobs); <-s.done }
+
+// child is one process of ours, which may be started again.
+type child struct {
+	name    string
+	program string
+	args    []string
+	env     []string
+	log     string // file that takes what it says
+	starter *starter
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	wanted  bool          // nobody asked it to end
+	crashes int           // ends that nobody asked for
+	cpu     time.Duration // of lives that ended
+	squeeze context.CancelFunc
+}
+
+// start starts the process.
+func (c *child) start() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd != nil {
+		return nil
+	}
+	log, err := os.OpenFile(c.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close() // the child has its own descriptor
+	cmd := exec.Command(c.program, c.args...)
+	cmd.Env = append(os.Environ(), c.env...)
+	cmd.Stderr = log
+	if err := c.starter.start(cmd); err != nil {
+		return fmt.Errorf("%s: %w", c.name, err)
+	}
+	ended := make(chan struct{})
+	c.cmd, c.ended, c.wanted = cmd, ended, true
+	go func() { // ends with the child
+		_ = cmd.Wait() // how it ended is told by wanted
+		c.mu.Lock()
+		if c.cmd == cmd {
+			if c.wanted {
+				c.crashes++
+			}
+			if s := cmd.ProcessState; s != nil {
+				c.cpu += s.UserTime() + s.SystemTime()
+			}
+			c.cmd = nil
+		}
+		c.mu.Unlock()
+		close(ended)
+	}()
+	return nil
+}
+
+// signal sends a signal, if the process runs; one that ends it is no crash.
+func (c *child) signal(sig syscall.Signal) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil {
+		return
+	}
+	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
+		c.wanted = false
+	}
+	_ = c.cmd.Process.Signal(sig) // it may just have ended
+}
+
+// end ends the process at once and waits for that.
+func (c *child) end() {
+	c.release()
+	c.signal(syscall.SIGKILL)
+	c.wait(10 * time.Second)
+}
+
+// leave asks the process to leave, and waits.
+func (c *child) leave(most time.Duration) {
+	c.signal(syscall.SIGTERM)
+	if !c.wait(most) {
+		c.end()
+	}
+}
+
+func (c *child) wait(most time.Duration) bool {
+	c.mu.Lock()
+	ended, runs := c.ended, c.cmd != nil
+	c.mu.Unlock()
+	if !runs {
+		return true
+	}
+	select {
+	case <-ended:
+		return true
+	case <-time.After(most):
+		return false
+	}
+}
+
+// hold lets the process run only a share of the time, until release.
+func (c *child) hold(share float64) {
+	const turn = 20 * time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	c.mu.Lock()
+	c.squeeze = cancel
+	c.mu.Unlock()
+	go func() { // ends by release
+		for ctx.Err() == nil {
+			c.signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration((1 - share) * float64(turn)))
+			c.signal(syscall.SIGCONT)
+			time.Sleep(time.Duration(share * float64(turn)))
+		}
+	}()
+}
+
+func (c *child) release() {
+	c.mu.Lock()
+	stop := c.squeeze
+	c.squeeze = nil
+	c.mu.Unlock()
+	if stop != nil {
+		stop()
+		time.Sleep(25 * time.Millisecond)
+	}
+	c.signal(syscall.SIGCONT)
+}
+
+// used is the processor time of all its lives.
+func (c *child) used() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil {
+		return c.cpu
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.cmd.Process.Pid))
+	if err != nil {
+		return c.cpu
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return c.cpu
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return c.cpu + time.Duration(user+system)*time.Second/100 // clock ticks, 100 a second on Linux
+}
+
+// memory is the resident size in kilobytes, 0 if it can't be told.
+func (c *child) memory() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cmd == nil {
+		return 0
+	}
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", c.cmd.Process.Pid)) // none: 0
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.Atoi(strings.Fields(rest)[0])
+			return kb
+		}
+	}
+	return 0
+}
+
+// freeAddr is an address of loopback at which nobody listens just now.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return ln.Addr().String(), ln.Close()
+}
+
+// reachable waits until an address can be connected to.
+func reachable(ctx context.Context, addr string, most time.Duration) error {
+	for end := time.Now().Add(most); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		if c, err := net.DialTimeout("tcp", addr, time.Second); err == nil {
+			return c.Close()
+		}
+	}
+	return errors.Join(ctx.Err(), fmt.Errorf("nobody listens at %s", addr))
+}
+
+// settings is the platform's settings object for the scenario's nodes.
+func (s *Scenario) settings() map[string]any {
+	effects := map[string]string{"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
+	var lanes []any
+	for _, c := range s.Classes {
+		lanes = append(lanes, map[string]any{"name": c.Name, "aimMs": c.Aim.Milliseconds(), "deadlineMs": c.Deadline.Milliseconds(),
+			"effect": effects[c.Effect], "windowMs": 60_000, "worth": c.Worth})
+	}
+	counted := "request"
+	if s.Fleet.WorthByWork {
+		counted = "work"
+	}
+	return map[string]any{
+		"tickMs": 2, "groupSize": s.Fleet.Nodes, "lanes": lanes, "countedBy": counted,
+		"parties": []any{map[string]any{"name": "acme", "share": 1, "quotaRps": 100_000}},
+		"extra": map[string]any{"cpus": s.Fleet.Cores, "ramKb": 400_000, "runFactor": 4, "entryKb": 0.2,
+			"meters": []string{"cpu_busy", "runnable"}, "passesDeadline": true, "tellsGone": true, "preemption": "drop",
+			"say": "weight", "keepaliveMaxMs": 30_000, "upstreams": s.Dispatchers.Count, "heededMs": 1000, "below": "none"},
+		"clientHabits": map[string]any{"marksRetry": true},
+		"bounds":       map[string]any{"retryAfter": true, "maxRetryAfterMs": s.Fleet.MaxAdvice.Milliseconds()},
+		"obligations": map[string]any{"fallMultiple": 8, "fallMs": 1500, "stopSendingWithinMs": 200, "answerSlackMs": 60,
+			"coldFrom": s.Fleet.ColdFrom, "rampTimeMs": s.Fleet.ColdRamp.Milliseconds()},
+	}
+}
+
+// writeNode writes a node's two files into dir.
+func (s *Scenario) writeNode(dir, name, listen, pool, members string, seed uint64, control []string) error {
+	text, err := json.Marshal(map[string]any{
+		"name": name, "listen": listen, "pool": pool, "members": members, "seed": fmt.Sprintf("%016x", seed), "stop_ms": 2000,
+		"limits":   map[string]any{"cores": s.Fleet.NodeCores, "memory_mb": s.Fleet.MemoryMB, "sockets": 384},
+		"settings": s.settings(),
+	})
+	if err != nil {
+		return err
+	}
+	var own strings.Builder
+	if s.Fleet.Results {
+		fmt.Fprintf(&own, "[results]\nenabled = true\ndurability = soon\ndir = %s\n", filepath.Join(dir, "results"))
+	}
+	if len(control) > 0 {
+		fmt.Fprintf(&own, "[control]\naddress = %s\nadvertise = %s\n", control[0], listen)
+	}
+	if s.Fleet.Together != "off" {
+		fmt.Fprintf(&own, "[together]\nenabled = true\ntold = %v\n", s.Fleet.Together == "told")
+	}
+	return errors.Join(
+		os.WriteFile(filepath.Join(dir, "config.json"), text, 0o600),
+		os.WriteFile(filepath.Join(dir, "robinmast.ini"), []byte(own.String()), 0o600))
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,301 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"robinmast/internal/standin"
+)
+
+var programs struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+// build builds the programs once for all tests of the package.
+func build(t *testing.T) Options {
+	t.Helper()
+	programs.once.Do(func() {
+		if programs.dir, programs.err = os.MkdirTemp("", "robinmast-programs-"); programs.err == nil {
+			out, err := exec.Command("go", "build", "-o", programs.dir, "../../../cmd/robinmast", "../../../cmd/robinmast-control").CombinedOutput()
+			if err != nil {
+				programs.err = fmt.Errorf("%w: %s", err, out)
+			}
+		}
+	})
+	if programs.err != nil {
+		t.Fatal(programs.err)
+	}
+	return Options{Node: filepath.Join(programs.dir, "robinmast"), Control: filepath.Join(programs.dir, "robinmast-control")}
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	_ = os.RemoveAll(programs.dir)
+	os.Exit(code)
+}
+
+// scenario parses what a test plays.
+func scenario(t *testing.T, text string) *Scenario {
+	t.Helper()
+	s, err := Parse(t.Name(), []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// run plays a scenario; a broken rule fails the test.
+func run(t *testing.T, s *Scenario, opt Options) *Report {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Fleet.Seconds+60)*time.Second)
+	defer cancel()
+	r, err := Run(ctx, s, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var table strings.Builder
+	r.Table(&table)
+	t.Log(table.String())
+	for _, b := range r.Broken() {
+		t.Error(b)
+	}
+	return r
+}
+
+// Every fault of a link does what its name says, and healing it lets bytes pass again.
+func TestLinkFaults(t *testing.T) {
+	echo := standin.Listen(t)
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); _, _ = io.Copy(c, c) }()
+		}
+	}()
+	ask := func(c net.Conn, text string, most time.Duration) (string, error) {
+		_ = c.SetDeadline(time.Now().Add(most))
+		if _, err := io.WriteString(c, text); err != nil {
+			return "", err
+		}
+		b := make([]byte, len(text))
+		n, err := io.ReadFull(c, b)
+		return string(b[:n]), err
+	}
+	timedOut := func(err error) bool { var ne net.Error; return errors.As(err, &ne) && ne.Timeout() }
+	for _, c := range []struct {
+		name   string
+		faults Faults
+		check  func(t *testing.T, l *Link, old net.Conn)
+	}{
+		{"cut", Faults{CutUp: true, CutDown: true}, func(t *testing.T, l *Link, old net.Conn) {
+			if _, err := ask(old, "lost", 60*time.Millisecond); !timedOut(err) {
+				t.Errorf("bytes passed a cut link: %v", err)
+			}
+			l.Set(Faults{})
+			b := make([]byte, 4) // what was under way arrives once the link is whole
+			_ = old.SetDeadline(time.Now().Add(2 * time.Second))
+			if _, err := io.ReadFull(old, b); err != nil || string(b) != "lost" {
+				t.Errorf("after healing: %q, %v", b, err)
+			}
+		}},
+		{"cut one way", Faults{CutDown: true}, func(t *testing.T, l *Link, old net.Conn) {
+			if _, err := ask(old, "gone", 60*time.Millisecond); !timedOut(err) {
+				t.Errorf("an answer passed: %v", err)
+			}
+		}},
+		{"delay", Faults{Delay: 60 * time.Millisecond, Jitter: 20 * time.Millisecond}, func(t *testing.T, l *Link, old net.Conn) {
+			began := time.Now()
+			if _, err := ask(old, "slow", 2*time.Second); err != nil || time.Since(began) < 120*time.Millisecond {
+				t.Errorf("an answer after %v, %v", time.Since(began), err)
+			}
+		}},
+		{"throttle", Faults{Rate: 10_000}, func(t *testing.T, l *Link, old net.Conn) {
+			began := time.Now()
+			if _, err := ask(old, strings.Repeat("x", 2000), 5*time.Second); err != nil || time.Since(began) < 300*time.Millisecond {
+				t.Errorf("2,000 bytes both ways at 10,000 a second took %v, %v", time.Since(began), err)
+			}
+		}},
+		{"mid message", Faults{After: 3} /* one has passed before */, func(t *testing.T, l *Link, old net.Conn) {
+			if got, err := ask(old, "halves", 100*time.Millisecond); got != "ha" || !timedOut(err) {
+				t.Errorf("got %q, %v", got, err)
+			}
+		}},
+		{"reset", Faults{Reset: true}, func(t *testing.T, l *Link, old net.Conn) {
+			if _, err := ask(old, "late", time.Second); err == nil || timedOut(err) {
+				t.Errorf("an open connection: %v", err)
+			}
+			if c, err := net.Dial("tcp", l.Addr()); err == nil {
+				if _, err := ask(c, "new", time.Second); err == nil || timedOut(err) {
+					t.Errorf("a new connection: %v", err)
+				}
+				c.Close()
+			}
+		}},
+		{"half open", Faults{HalfOpen: true}, func(t *testing.T, l *Link, old net.Conn) {
+			if _, err := ask(old, "dead", 60*time.Millisecond); !timedOut(err) {
+				t.Errorf("the near side was told: %v", err)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := NewLink(echo.Addr().String(), 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			conn, err := net.Dial("tcp", l.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if got, err := ask(conn, "a", time.Second); got != "a" || err != nil {
+				t.Fatalf("before the fault: %q, %v", got, err)
+			}
+			l.Set(c.faults)
+			c.check(t, l, conn)
+			l.Set(Faults{})
+			after, err := net.Dial("tcp", l.Addr())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer after.Close()
+			if got, err := ask(after, "well", 2*time.Second); got != "well" || err != nil {
+				t.Errorf("a new connection after healing: %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// A schedule replays by its seed, and another seed is another night.
+func TestScheduleReplays(t *testing.T) {
+	digest := func(seed uint64) string {
+		s := Defaults()
+		s.Name, s.Fleet.Seed = "x", seed
+		s.Classes = []ClassPart{{Name: "a", Share: 1, Ms: 20, Worth: 1, Aim: time.Second, Deadline: time.Second, Effect: "safe"}}
+		if err := s.Check(); err != nil {
+			t.Fatal(err)
+		}
+		text, n := "", 0
+		for a := range s.arrivals {
+			if n++; n%50 == 0 {
+				text += fmt.Sprint(a)
+			}
+		}
+		if rate := float64(n) / float64(s.Fleet.Seconds) / s.capacity(); rate < 0.85 || rate > 0.95 {
+			t.Errorf("load %.3f, asked for 0.9", rate)
+		}
+		return text
+	}
+	if digest(1) != digest(1) {
+		t.Error("the same seed gave two schedules")
+	}
+	if digest(1) == digest(2) {
+		t.Error("two seeds gave one schedule")
+	}
+}
+
+// A scenario that can't be played is told by file, line and key.
+func TestScenarioFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"[fleet]\nnodes = 99":                           "f.ini:2: [fleet] nodes: 99 is not within 1 and 24",
+		"[fleet]\nnods = 3":                             "f.ini:2: [fleet] nods: unknown key; there are nodes",
+		"[fleet]\nnodes = six":                          "f.ini:2: [fleet] nodes: \"six\" can't be read",
+		"[flet]\n":                                      "f.ini:1: [flet]",
+		"[load]\nsteps = 0s 0.9, 1s":                    "f.ini:2: [load] steps: \"1s\" is no time and load",
+		"[fault.a]\nat = 1s\nwhat = kill\non = nodes:7": "f.ini:4: [fault.a] on: \"7\" is none of the 6 nodes",
+		"[fault.a]\nat = 1s\nwhat = cut\nlink = nodes":  "f.ini:4: [fault.a] link: \"nodes\" is no link",
+		"[fault.a]\nat = 1s\nfor=2s\ntimes=2\nevery=1s\nwhat = kill\non = nodes:1.0": "f.ini:5: [fault.a] every: 1s leaves no time",
+		"[fleet]\ntogether = told": "f.ini:2: [fleet] together: told needs control",
+		"[class.a]\nshare = 0.5":   "f.ini:2: [class.a] share: the classes' shares add up to 0.5",
+	} {
+		if _, err := Parse("f.ini", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v\nwanted %s", text, err, want)
+		}
+	}
+	shipped, _ := filepath.Glob("../../../rehearsals/*.ini")
+	if len(shipped) == 0 {
+		t.Error("no rehearsals are shipped")
+	}
+	for _, path := range shipped {
+		if _, err := Load(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// A fleet through a crash of a third, keyed work among it: all that the outside
+// view promises to count is counted, no rule is broken, and nothing is left behind.
+func TestCrashOfAThird(t *testing.T) {
+	opt := build(t)
+	var pids []string
+	opt.Look = func(f *Fleet) {
+		for _, n := range f.nodes {
+			pids = append(pids, fmt.Sprint(n.child.cmd.Process.Pid))
+		}
+	}
+	r := run(t, scenario(t, `
+[fleet]
+nodes = 3
+cores = 1
+seconds = 6
+[load]
+steps = 0s 0.6
+[class.step]
+share = 0.7
+[class.order]
+share = 0.3
+effect = keyed
+[fault.crash]
+at = 2s
+for = 1s
+what = kill
+on = nodes:0.333
+`), opt)
+	if r.During > 0.95*r.Before {
+		t.Errorf("worth %.0f a second during a crash of a third, %.0f before: it did not show", r.During, r.Before)
+	}
+	if n := r.Tally.Tries[cut] + r.Tally.Tries[unreachable]; n == 0 {
+		t.Error("nobody noticed the crash")
+	}
+	sum := 0
+	for _, n := range r.Tally.Requests {
+		sum += n
+	}
+	if sum == 0 || sum > r.Tally.Asked {
+		t.Errorf("%d requests ended of %d", sum, r.Tally.Asked)
+	}
+	for _, pid := range pids {
+		if _, err := os.Stat("/proc/" + pid); err == nil {
+			t.Errorf("process %s is left behind", pid)
+		}
+	}
+}
+
+// The outside view sees what it is there for: a report with faults in it says so.
+func TestReportTellsWhatBroke(t *testing.T) {
+	r := &Report{Tally: tally{Lost: 1, Twice: 2}, RanTwice: 3}
+	if got := strings.Join(r.Broken(), "; "); !strings.Contains(got, "1 tries") || !strings.Contains(got, "2 answers") || !strings.Contains(got, "3 keyed") {
+		t.Errorf("told %q", got)
+	}
+	r = &Report{Marks: []Mark{{At: 1, On: true}, {At: 2}}}
+	for i := range 50 { // 10 a slice, nothing from 1 to 3.5 s, then all again
+		r.slices = append(r.slices, map[bool]float64{true: 0, false: 10}[i >= 10 && i < 35])
+	}
+	if r.back(); r.Back != 1.5 || r.Before != 100 || r.During != 0 {
+		t.Errorf("back after %v s, before %v, during %v", r.Back, r.Before, r.During)
+	}
+}
--- a/internal/standin/platform/client.go
+++ b/internal/standin/platform/client.go
@@ -5,9 +5,11 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -38,6 +40,7 @@
 	Word   string // ACK served, NAK refused, else failed
 	Later  time.Duration
 	GiveUp bool
+	Value  float64 // the free value, NaN = none was told
 	Body   []byte
 }
 
@@ -51,7 +54,9 @@
 	mu     sync.Mutex
 	tag    int
 	open   map[string]chan Answer
-	closed bool // by the node: nothing new may be sent
+	left   map[string]bool // cancelled; one answer to each does no harm
+	twice  int             // answers to what was answered before
+	closed bool            // by the node: nothing new may be sent
 }
 
 // Dial connects dispatcher number n to a node.
@@ -60,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Client{number: n, conn: conn, free: make(chan struct{}, MostOpen), ended: make(chan struct{}), open: map[string]chan Answer{}}
+	c := &Client{number: n, conn: conn, free: make(chan struct{}, MostOpen), ended: make(chan struct{}), open: map[string]chan Answer{}, left: map[string]bool{}}
 	go c.read()
 	return c, nil
 }
@@ -75,10 +80,28 @@
 	return !c.closed
 }
 
+// Room is how many more requests may be open now.
+func (c *Client) Room() int { return MostOpen - len(c.free) }
+
+// Twice is how many answers came to requests that had theirs.
+func (c *Client) Twice() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.twice
+}
+
 // Call sends a request and waits for its answer. The error is ErrGone once the
 // request may have been read; any other proves that it was not sent.
-func (c *Client) Call(q Request) (Answer, error) {
-	c.free <- struct{}{}
+func (c *Client) Call(q Request) (Answer, error) { return c.Do(context.Background(), q) }
+
+// Do is Call for as long as ctx lasts. Then it sends a cancel and returns
+// ErrGone: the request may have been read.
+func (c *Client) Do(ctx context.Context, q Request) (Answer, error) {
+	select {
+	case c.free <- struct{}{}:
+	case <-ctx.Done():
+		return Answer{}, ctx.Err()
+	}
 	defer func() { <-c.free }()
 	got := make(chan Answer, 1)
 	c.mu.Lock()
@@ -104,7 +127,7 @@
 	for _, part := range [][]byte{[]byte("RPC.CALL"), []byte(tag), []byte(q.Class), []byte(fields), q.Body} {
 		b = redcon.AppendBulk(b, part)
 	}
-	_, err := c.conn.Write(b)
+	err := c.write(ctx, b)
 	c.mu.Unlock()
 	if err != nil {
 		return Answer{}, ErrGone
@@ -119,7 +142,60 @@
 		default:
 			return Answer{}, ErrGone
 		}
+	case <-ctx.Done():
+		c.cancel(tag)
+		return Answer{}, ErrGone
+	}
+}
+
+// write sends whole messages; one that can't be sent whole in time ends the
+// connection. The lock must be held.
+func (c *Client) write(ctx context.Context, b []byte) error {
+	end, _ := ctx.Deadline() // the zero time is none
+	_ = c.conn.SetWriteDeadline(end)
+	_, err := c.conn.Write(b)
+	if err != nil {
+		c.closed = true
+		_ = c.conn.Close()
+	}
+	return err
+}
+
+// cancel tells the node that nobody waits for a request.
+func (c *Client) cancel(tag string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[tag] == nil || c.closed {
+		return
+	}
+	delete(c.open, tag)
+	if len(c.left) > 4096 { // tags grow: the oldest are of no interest any more
+		clear(c.left)
 	}
+	c.left[tag] = true
+	b := redcon.AppendArray(nil, 2)
+	ctx, end := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer end()
+	_ = c.write(ctx, redcon.AppendBulkString(redcon.AppendBulkString(b, "RPC.CANCEL"), tag))
+}
+
+// Probe makes one health check on a connection of its own.
+func Probe(addr string, timeout time.Duration) (green bool, err error) {
+	conn, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return false, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(timeout))
+	b := redcon.AppendArray(nil, 3)
+	for _, word := range []string{"RPC.HEALTH", "1", ""} {
+		b = redcon.AppendBulkString(b, word)
+	}
+	if _, err := conn.Write(b); err != nil {
+		return false, err
+	}
+	parts, err := readArray(bufio.NewReader(conn))
+	return err == nil && len(parts) > 1 && string(parts[1]) == "GREEN", err
 }
 
 func (c *Client) read() {
@@ -144,11 +220,15 @@
 		}
 		got := c.open[tag]
 		delete(c.open, tag)
+		if got == nil && tag != "0" && !c.left[tag] {
+			c.twice++
+		}
+		delete(c.left, tag)
 		c.mu.Unlock()
 		if got == nil {
 			continue
 		}
-		a := Answer{Word: string(parts[1])}
+		a := Answer{Word: string(parts[1]), Value: math.NaN()}
 		if len(parts) > 2 {
 			for _, f := range strings.Split(string(parts[2]), ",") {
 				name, value, _ := strings.Cut(f, "=")
@@ -156,6 +236,10 @@
 				case "later":
 					ms, _ := strconv.ParseFloat(value, 64)
 					a.Later = time.Duration(ms * float64(time.Millisecond))
+				case "feedback":
+					if v, err := strconv.ParseFloat(value, 64); err == nil {
+						a.Value = v
+					}
 				case "giveup":
 					a.GiveUp = value == "1"
 				}
--- a/internal/standin/platform/pool.go
+++ b/internal/standin/platform/pool.go
@@ -54,6 +54,9 @@
 	busy    float64        // smoothed share of busy cores
 	ended   int
 	paused  bool
+	cold    float64       // share of its speed that it began with, 0 = it was hot
+	ramp    time.Duration // until it is warm
+	slow    float64       // times that work takes longer, 0 = 1
 }
 
 type run struct {
@@ -130,6 +133,23 @@
 	p.wake()
 }
 
+// Cold lets the pool be cold as of its start: it begins at the share from of its
+// speed and is warm after ramp. It must be called before a node binds.
+func (p *Pool) Cold(from float64, ramp time.Duration) {
+	p.mu.Lock()
+	p.cold, p.ramp = from, ramp
+	p.mu.Unlock()
+}
+
+// Slow lets all work take times as long from now on.
+func (p *Pool) Slow(times float64) {
+	p.mu.Lock()
+	p.advance()
+	p.slow = times
+	p.mu.Unlock()
+	p.wake()
+}
+
 func (p *Pool) wake() {
 	select {
 	case p.poke <- struct{}{}:
@@ -191,7 +211,11 @@
 				_ = p.link.Close()
 			}
 			p.link = c
-			p.say(fmt.Sprintf(`{"op":"bound","end":"hot","ms":%d}`, time.Since(p.began).Milliseconds()))
+			state := "hot"
+			if p.cold > 0 {
+				state = "chilly"
+			}
+			p.say(fmt.Sprintf(`{"op":"bound","end":%q,"ms":%d}`, state, time.Since(p.began).Milliseconds()))
 			for i := max(m.Seq-p.base, 0); i < len(p.notices); i++ {
 				p.say(p.notices[i])
 			}
@@ -245,7 +269,15 @@
 		return 0
 	}
 	share := min(1, float64(p.Cores)/n)
-	return share / (1 + p.Crowd*max(0, n/float64(p.Cores)-1))
+	return share * p.warm() / max(p.slow, 1) / (1 + p.Crowd*max(0, n/float64(p.Cores)-1))
+}
+
+// warm is the share of its speed that the pool has; the lock must be held.
+func (p *Pool) warm() float64 {
+	if p.cold <= 0 {
+		return 1
+	}
+	return p.cold + (1-p.cold)*min(1, time.Since(p.began).Seconds()/p.ramp.Seconds())
 }
 
 // advance brings all runs up to now; the lock must be held.
@@ -287,6 +319,9 @@
 			for _, r := range p.runs {
 				next = min(next, time.Duration(r.left/v*float64(time.Millisecond))+50*time.Microsecond)
 			}
+			if p.warm() < 1 { // the speed changes meanwhile
+				next = min(next, 5*time.Millisecond)
+			}
 		}
 		p.mu.Unlock()
 		timer.Reset(next)
