decide/together: refusals with the fleet in mind, alone and told by the control service

Need: a refused request walks to the next node and is refused there, and what is held in vain is refused late. With [together] a node refuses at once what those of more worth would keep from its turn, ends walks for the share that others refuse as further tries show it, spreads advice over appointments, and lets further tries count whole while only some nodes are full. Told, the answer to a report carries a digest: the cut below which the fleet is full (a water level over all nodes' first tries, trimmed, by epoch and sequence, believed less with age). Off by default; the module then takes the same steps as before.

--- a/cmd/robinmast/control.go
+++ b/cmd/robinmast/control.go
@@ -10,10 +10,13 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
+	"robinmast/decide/together"
 	"robinmast/internal/config"
 	"robinmast/internal/exchange"
 	"robinmast/internal/members"
@@ -25,8 +28,13 @@
 	reporter *members.Reporter
 	ledger   *exchange.Ledger
 
+	told func(since time.Time, d together.Digest) // nil = no digest is asked for
+
 	mu            sync.Mutex
 	is            controlMessage
+	said          together.Word
+	view          together.View
+	part          controlWord
 	stop          time.Time // the drain ends, zero = it has not begun
 	read, refused int64     // as of the last report
 }
@@ -46,6 +54,18 @@
 	Pressure    float64 `json:"pressure"`
 	Refused     float64 `json:"refused"`
 	Flips       uint64  `json:"flips"`
+
+	Together *controlWord `json:"together,omitempty"`
+}
+
+// controlWord is the part of a report of a node that thinks of the fleet.
+type controlWord struct {
+	Drain  float64            `json:"drain"`
+	Short  float64            `json:"short"`
+	Demand map[string]float64 `json:"demand"` // first tries a second by band of price; bands without any are left out
+	Ask    bool               `json:"ask"`    // for the digest
+	Cut    float64            `json:"cut"`    // that the node follows, 0 = none
+	Trust  float64            `json:"trust"`  // in its digest
 }
 
 // secure is how the service is spoken to, nil for plain text. The node's pair is
@@ -85,14 +105,51 @@
 		Addr: cmp.Or(own.Advertise, cfg.Listen), Zone: own.Zone, Incarnation: time.Now().UnixMicro(), Phase: "up", Healthy: true, Warm: 1,
 	}}
 	c.reporter = members.NewControl(own.Address, cfg.Name, tlsConfig, c.next, log)
+	c.reporter.Answered = c.answered
 	return c, nil
 }
 
+// word takes what the module says of itself for the fleet; it is put into words
+// when the next report is made.
+func (c *controlReport) word(w together.Word, v together.View) {
+	c.mu.Lock()
+	c.said, c.view, c.is.Together = w, v, &c.part
+	c.mu.Unlock()
+}
+
+// tell puts the last word into the next report; the lock must be held.
+func (c *controlReport) tell() {
+	c.part = controlWord{Drain: tenth(c.said.Drain), Short: round(c.said.Short), Demand: map[string]float64{},
+		Ask: c.told != nil, Cut: c.view.Cut, Trust: round(c.view.Trust)}
+	for i, x := range c.said.Demand {
+		if x = tenth(x); x > 0 {
+			c.part.Demand[strconv.Itoa(i)] = x
+		}
+	}
+}
+
+func tenth(x float64) float64 { return math.Round(10*x) / 10 }
+
+// answered takes the body of an answer to a report made at the time sent: the
+// fleet's digest. What can't be read is as if never told.
+func (c *controlReport) answered(sent time.Time, body []byte) {
+	if c.told == nil || len(body) == 0 {
+		return
+	}
+	var d together.Digest
+	if err := json.Unmarshal(body, &d); err == nil {
+		c.told(sent, d)
+	}
+}
+
 // next is the report to send now.
 func (c *controlReport) next() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.is.Seq++
+	if c.is.Together != nil {
+		c.tell()
+	}
 	read, refused := c.ledger.Read.Load(), c.ledger.Count(exchange.WasRefused)
 	if c.is.Refused = 0; read > c.read {
 		c.is.Refused = min(max(float64(refused-c.refused)/float64(read-c.read), 0), 1)
--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -68,6 +68,12 @@
 		r := p.control.reporter
 		args = append(args, slog.Group("control", "sent", r.Sent.Load(), "failed", r.Failed.Load()))
 	}
+	if p.cfg.set.NewTogether != nil && line == linePresent {
+		if v, ok := p.node.Together(poolsWait); ok {
+			args = append(args, slog.Group("together", "others_refuse", round(v.Others), "short", round(v.Short), "walks_ended", round(v.Ended),
+				"advice_spread", round(v.Grown), "trust", round(v.Trust), "cut", round(v.Cut), "digest_age", v.Age))
+		}
+	}
 	if p.cfg.set.NewPools != nil && line == linePresent { // a loop that has ended shows nothing
 		views := p.node.Pools(poolsWait)
 		var group []any
--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -61,6 +61,7 @@
 	}
 	limit(cfg)
 	cfg.own = own
+	settings.UseTogether(&cfg.set, own)
 	if err := settings.UsePools(&cfg.set, cfg.names, own); err != nil {
 		return failure{error: err, status: statusConfig}
 	}
@@ -141,6 +142,9 @@
 		if p.control, err = newControlReport(cfg, p.ledger, log); err != nil {
 			return err
 		}
+		if cfg.own.Together.Enabled {
+			nc.Word = p.control.word
+		}
 		nc.Load, nc.Health = p.control.load, func(good bool) {
 			p.report.SetUp(good)
 			p.control.health(good)
@@ -150,6 +154,9 @@
 		nc.Memory = mem
 	}
 	p.node = node.New(nc)
+	if p.control != nil && cfg.own.Together.Enabled && cfg.own.Together.Told {
+		p.control.told = p.node.Told
+	}
 	p.front = front.New(front.Config{
 		Settings: cfg.set, Names: cfg.names, MaxConns: max(cfg.Limits.Sockets-ownSockets, 1),
 		OutBytes: memory / outShare, Log: log,
@@ -233,9 +240,10 @@
 	p.report.Move(cfg.Members)
 }
 
-// sameSettings compares what the platform says; pools are the node's own.
+// sameSettings compares what the platform says; pools and together are the node's own.
 func sameSettings(a, b rules.Settings) bool {
 	a.NewPools, b.NewPools = nil, nil
+	a.NewTogether, b.NewTogether = nil, nil
 	return reflect.DeepEqual(a, b)
 }
 
--- a/cmd/robinmastctl/fleet.go
+++ b/cmd/robinmastctl/fleet.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -103,6 +104,11 @@
 		Weight                       int
 		Limit, Penalty               float64
 		Unproven                     bool
+		Follows                      string
+	}
+	Digest struct {
+		Nodes              int
+		Drain, Demand, Cut float64
 	}
 }
 
@@ -122,14 +128,19 @@
 		fmt.Fprintf(out, ", proxies drop %.0f%%", 100*v.Drop)
 	}
 	fmt.Fprintln(out)
+	if d := v.Digest; d.Nodes > 0 && d.Cut > 0 {
+		fmt.Fprintf(out, "the fleet is full below %.1f worth a second of work: %.0f first tries a second, %.0f drain, told by %d nodes\n", d.Cut, d.Demand, d.Drain, d.Nodes)
+	} else if d.Nodes > 0 {
+		fmt.Fprintf(out, "the fleet has room for all: %.0f first tries a second, told by %d nodes\n", d.Demand, d.Nodes)
+	}
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(w, "NODE\tZONE\tADDRESS\tSTATE\tFOR\tWEIGHT\tLIMIT\tPENALTY\tWHY")
+	fmt.Fprintln(w, "NODE\tZONE\tADDRESS\tSTATE\tFOR\tWEIGHT\tLIMIT\tPENALTY\tFOLLOWS\tWHY")
 	for _, n := range v.Nodes {
 		state := n.State
 		if n.Unproven {
 			state += " (unproven)"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0fs\t%d\t%.0f\t%.1f\t%s\n", n.Name, n.Zone, n.Addr, state, n.SinceS, n.Weight, n.Limit, n.Penalty, n.Why)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%.0fs\t%d\t%.0f\t%.1f\t%s\t%s\n", n.Name, n.Zone, n.Addr, state, n.SinceS, n.Weight, n.Limit, n.Penalty, cmp.Or(n.Follows, "-"), n.Why)
 	}
 	return w.Flush()
 }
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -40,7 +40,7 @@
 			return serve(own, os.Stdin, os.Stdout)
 		},
 	}
-	c.Flags().StringVarP(&path, "config", "c", "", "the node's INI file, for the features that the simulator has: [pools]")
+	c.Flags().StringVarP(&path, "config", "c", "", "the node's INI file, for the features that the simulator has: [pools], [together]")
 	c.SetArgs(args)
 	if err := c.Execute(); err != nil {
 		fmt.Fprintf(os.Stderr, "simhost: %v\n", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,6 +30,8 @@
 	Control Control
 	Store   Store
 
+	Together Together
+
 	name   string // of the file, for faults found later
 	places places
 }
@@ -71,6 +73,12 @@
 	ServerName    string // in the service's certificate
 }
 
+// Together is what [together] says.
+type Together struct {
+	Enabled bool
+	Told    bool // take the fleet's digest from the control service
+}
+
 // Store is what [store] says.
 type Store struct {
 	Segment        int64 // bytes
@@ -243,6 +251,9 @@
 			}
 		}
 	}
+	if c.Together.Enabled && c.Together.Told && c.Control.Address == "" {
+		faults = append(faults, Fault{Section: "together", Key: "told", What: "digests come with the answers of a control service: [control] address is required"})
+	}
 	sum, last := c.Pools.Reserve, Fault{Section: "pools", Key: "reserve"}
 	for name, r := range c.Pools.Classes {
 		sum += r
--- a/internal/config/table.go
+++ b/internal/config/table.go
@@ -57,6 +57,7 @@
 	{"pools", "Pools by class with a reserve; see docs/pools.md."},
 	{"pool.*", "One class by its name, [pool.NAME]: a reserve of its own, whatever its runs cost."},
 	{"control", "Reports to a control service; see docs/control.md. Needs talk beyond the platform's."},
+	{"together", "Refusals with the whole fleet in mind; see docs/together.md."},
 	{"store", "The store beneath [results]; see docs/store.md. The defaults suit most disks."},
 }
 
@@ -150,6 +151,13 @@
 		"Name in the control service's certificate; empty = its address.",
 		func(c *Config, v value) { c.Control.ServerName = v.s }},
 
+	{"together", "enabled", kindBool, "false", 0, 0, nil,
+		"Refuse at once what would be held in vain, end walks only when others refuse too, spread advice.",
+		func(c *Config, v value) { c.Together.Enabled = v.b }},
+	{"together", "told", kindBool, "false", 0, 0, nil,
+		"Take the fleet's digest with the answers of the control service; needs [control] address.",
+		func(c *Config, v value) { c.Together.Told = v.b }},
+
 	{"store", "segment", kindSize, "8MB", 256 * kb, 1 * gb, nil,
 		"Disk beyond twice the live data that the store may take; its files are a quarter of it.",
 		func(c *Config, v value) { c.Store.Segment = v.n }},
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -398,11 +398,11 @@
 	f.Add([]byte(`{"addr":"127.0.0.1:1","incarnation":5,"seq":1,"phase":"up","warm":1,"limit":8}`))
 	f.Add([]byte(`{"addr":"[::1]:65535","incarnation":18446744073709551615,"seq":1,"phase":"draining","running":1e309}`))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		r, err := parseReport("n", text)
+		r, _, err := parseReport("n", text)
 		if err == nil && !(r.Warm >= 0 && r.Warm <= 1 && r.Limit >= 0 && r.Incarnation > 0) {
 			t.Errorf("taken: %+v", r)
 		}
-		if r, err := parsePlain("n", text); err == nil && !r.Plain {
+		if r, _, err := parsePlain("n", text); err == nil && !r.Plain {
 			t.Errorf("taken: %+v", r)
 		}
 	})
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -9,15 +9,18 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"robinmast/decide/fleet"
+	"robinmast/decide/together"
 	"robinmast/internal/store"
 )
 
@@ -47,18 +50,28 @@
 	began time.Time
 	queue chan event
 
-	mu   sync.Mutex
-	view fleet.View
+	mu     sync.Mutex
+	view   fleet.View
+	digest together.Digest
+	follow map[string]follower
+}
+
+// follower is what a node that thinks of the fleet said last.
+type follower struct {
+	cut, trust float64
+	ask        bool
+	at         time.Duration
 }
 
 type event struct {
 	report *fleet.Report
+	word   *together.Word // of the node that reports
 	load   *fleet.Load
 }
 
 // New returns a service; Run runs it.
 func New(cfg Config) *Service {
-	return &Service{Streams: NewStreams(), cfg: cfg, began: time.Now(), queue: make(chan event, queueSize)}
+	return &Service{Streams: NewStreams(), cfg: cfg, began: time.Now(), queue: make(chan event, queueSize), follow: map[string]follower{}}
 }
 
 // View is the latest view; its times count from the service's start.
@@ -98,6 +111,7 @@
 // every node had time to report: an empty view would empty the proxies.
 func (s *Service) Run(ctx context.Context) {
 	f := s.restore()
+	g := together.NewGatherer(uint64(time.Now().UnixMicro()))
 	view, _ := f.Step(s.now())
 	patience := 2 * time.Second
 	if len(view.Nodes) > 0 {
@@ -111,8 +125,14 @@
 		for _, line := range lines {
 			s.cfg.Log.Info("fleet", "line", line)
 		}
+		was := g.Last().Cut
+		d := g.Digest(s.now())
+		if (was > 0) != (d.Cut > 0) {
+			s.cfg.Log.Info("fleet", "line", fmt.Sprintf("the fleet's cut is %.1f: %.0f first tries a second, %.0f drain, by %d nodes", d.Cut, d.Demand, d.Drain, d.Nodes))
+		}
 		s.mu.Lock()
-		s.view = v
+		s.view, s.digest = v, d
+		maps.DeleteFunc(s.follow, func(_ string, o follower) bool { return s.now()-o.at > followFor })
 		s.mu.Unlock()
 		if v.Version != published && s.now() >= patience {
 			published = v.Version
@@ -131,11 +151,11 @@
 			s.save(f)
 			return
 		case e := <-s.queue:
-			s.feed(f, e)
+			s.feed(f, g, e)
 			for more := true; more; {
 				select {
 				case e := <-s.queue:
-					s.feed(f, e)
+					s.feed(f, g, e)
 				default:
 					more = false
 				}
@@ -146,13 +166,16 @@
 	}
 }
 
-func (s *Service) feed(f *fleet.Fleet, e event) {
+func (s *Service) feed(f *fleet.Fleet, g *together.Gatherer, e event) {
 	switch {
 	case e.report != nil:
 		s.Reports.Add(1)
 		if !f.Report(s.now(), *e.report) {
 			s.Ignored.Add(1)
 		}
+		if e.word != nil {
+			g.Heard(s.now(), e.report.Name, e.report.Incarnation, e.report.Seq, *e.word)
+		}
 	case e.load != nil:
 		f.Saw(s.now(), *e.load)
 	}
@@ -208,16 +231,50 @@
 	Pressure    float64 `json:"pressure"`
 	Refused     float64 `json:"refused"`
 	Flips       uint64  `json:"flips"`
+
+	Together *word `json:"together"`
+}
+
+// word is the part of a report of a node that thinks of the fleet (docs/together.md).
+type word struct {
+	Drain  float64            `json:"drain"`
+	Short  float64            `json:"short"`
+	Demand map[string]float64 `json:"demand"`
+	Ask    bool               `json:"ask"`
+	Cut    float64            `json:"cut"`
+	Trust  float64            `json:"trust"`
 }
 
+// parse reads a word; figures that are none count as 0, bands that do not exist as none.
+func (w *word) parse() *together.Word {
+	out := &together.Word{Drain: w.Drain, Short: w.Short}
+	for name, x := range w.Demand {
+		if b, err := strconv.Atoi(name); err == nil && b >= 0 && b < together.Bands {
+			out.Demand[b] = x
+		}
+	}
+	return out
+}
+
+// mostFollow bounds whose word is kept for that.
+const mostFollow = 20_000
+
+// followFor is how long a node's word on the cut it follows is shown.
+const followFor = 3 * time.Second
+
 var phases = map[string]fleet.Phase{"up": fleet.Up, "draining": fleet.Draining, "out": fleet.Out}
 
 // parseReport reads a node's report.
-func parseReport(name string, text []byte) (*fleet.Report, error) {
+func parseReport(name string, text []byte) (*fleet.Report, *word, error) {
 	var m message
 	if err := json.Unmarshal(text, &m); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	r, err := m.report(name)
+	return r, m.Together, err
+}
+
+func (m *message) report(name string) (*fleet.Report, error) {
 	phase, known := phases[m.Phase]
 	host, _, err := net.SplitHostPort(m.Addr)
 	switch {
@@ -264,10 +321,14 @@
 		v := s.View()
 		now := s.now()
 		out := Fleet{Version: v.Version, Drop: v.Drop, Frozen: v.Frozen, Lost: v.Lost, Nodes: []FleetNode{}}
+		s.mu.Lock()
+		out.Digest = s.digest
+		follow := maps.Clone(s.follow)
+		s.mu.Unlock()
 		for _, n := range v.Nodes {
 			out.Nodes = append(out.Nodes, FleetNode{
 				Name: n.Name, Addr: n.Addr, Zone: n.Zone, State: n.State.String(), Why: n.Why, SinceS: math.Round((now-n.Since).Seconds()*10) / 10,
-				Weight: n.Weight, Limit: n.Limit, Penalty: n.Penalty, Unproven: n.Unproven,
+				Weight: n.Weight, Limit: n.Limit, Penalty: n.Penalty, Unproven: n.Unproven, Follows: follows(follow, n.Name, out.Digest.Cut),
 			})
 		}
 		answer(w, out)
@@ -276,6 +337,22 @@
 	return mux
 }
 
+// follows says how a node stands to the fleet's cut.
+func follows(all map[string]follower, name string, cut float64) string {
+	o, known := all[name]
+	switch {
+	case !known:
+		return ""
+	case !o.ask:
+		return "alone"
+	case o.trust <= 0:
+		return "hears no digest"
+	case (o.cut > 0) != (cut > 0):
+		return "an older cut"
+	}
+	return "the cut"
+}
+
 // Fleet is the view as JSON.
 type Fleet struct {
 	Version uint64      `json:"version"`
@@ -283,6 +360,8 @@
 	Frozen  bool        `json:"frozen"`
 	Lost    []string    `json:"lost_zones,omitempty"`
 	Nodes   []FleetNode `json:"nodes"`
+
+	Digest together.Digest `json:"digest"`
 }
 
 // FleetNode is one node of it.
@@ -297,6 +376,7 @@
 	Limit    float64 `json:"limit"`
 	Penalty  float64 `json:"penalty"`
 	Unproven bool    `json:"unproven,omitempty"`
+	Follows  string  `json:"follows,omitempty"` // "the cut", "an older cut", "hears no digest", "alone"; none = not of that kind
 }
 
 func answer(w http.ResponseWriter, v any) {
@@ -305,10 +385,10 @@
 }
 
 // parsePlain reads the platform's report.
-func parsePlain(name string, text []byte) (*fleet.Report, error) {
+func parsePlain(name string, text []byte) (*fleet.Report, *word, error) {
 	var m struct{ Phase, Addr, Zone string }
 	if err := json.Unmarshal(text, &m); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	r := &fleet.Report{Name: name, Plain: true, Addr: m.Addr, Zone: clip(m.Zone)}
 	switch m.Phase {
@@ -316,13 +396,13 @@
 	case "OUT":
 		r.Phase = fleet.Out
 	default:
-		return nil, fmt.Errorf("phase %q is neither UP nor OUT", clip(m.Phase))
+		return nil, nil, fmt.Errorf("phase %q is neither UP nor OUT", clip(m.Phase))
 	}
-	return r, nil
+	return r, nil, nil
 }
 
-// take reads a report and answers 204, 400 with what is wrong, 403 or 503.
-func (s *Service) take(w http.ResponseWriter, r *http.Request, parse func(string, []byte) (*fleet.Report, error)) {
+// take reads a report and answers 204, 200 with the fleet's digest where it is asked for, 400 with what is wrong, 403 or 503.
+func (s *Service) take(w http.ResponseWriter, r *http.Request, parse func(string, []byte) (*fleet.Report, *word, error)) {
 	name := r.PathValue("name")
 	if s.cfg.May != nil && !s.cfg.May(r, name) {
 		s.Refused.Add(1)
@@ -345,7 +425,7 @@
 			break
 		}
 	}
-	report, err := parse(name, []byte(text.String()))
+	report, said, err := parse(name, []byte(text.String()))
 	if err == nil && (name == "" || len(name) > 128) {
 		err = errors.New("name is empty or longer than 128 bytes")
 	}
@@ -354,9 +434,27 @@
 		http.Error(w, "report: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if !s.enqueue(event{report: report}) {
+	e := event{report: report}
+	if said != nil {
+		e.word = said.parse()
+	}
+	if !s.enqueue(e) {
 		http.Error(w, "too many reports wait", http.StatusServiceUnavailable)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	if said == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	s.mu.Lock()
+	d := s.digest
+	if len(s.follow) < mostFollow {
+		s.follow[name] = follower{cut: said.Cut, trust: said.Trust, ask: said.Ask, at: s.now()}
+	}
+	s.mu.Unlock()
+	if !said.Ask || d.Epoch == 0 {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	answer(w, d)
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -38,6 +38,10 @@
 
 	Traffic stream.Traffic
 
+	// Answered, if set before Run, takes the body of each answer that has one, and
+	// when its report was made. It must not wait.
+	Answered func(sent time.Time, body []byte)
+
 	scheme string
 	name   string
 	what   string        // the service, for lines
@@ -173,6 +177,7 @@
 
 // report sends one report and waits until it was taken.
 func (r *Reporter) report(ctx context.Context) error {
+	sent := time.Now()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPut, *r.url.Load(), strings.NewReader(r.body()))
 	if err != nil {
 		return fmt.Errorf("report: %w", err)
@@ -183,9 +188,14 @@
 		return fmt.Errorf("report: %w", err)
 	}
 	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, 4<<10)); err != nil {
+	body, err := io.ReadAll(io.LimitReader(res.Body, 4<<10))
+	if err != nil {
 		return fmt.Errorf("report: %w", err)
 	}
+	if res.StatusCode == http.StatusOK && r.Answered != nil {
+		r.Answered(sent, body)
+		return nil
+	}
 	if res.StatusCode != http.StatusNoContent {
 		return fmt.Errorf("report: status %s", res.Status)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"robinmast/decide/pools"
+	"robinmast/decide/together"
 	"robinmast/internal/exchange"
 	"robinmast/internal/pool"
 	"robinmast/rules"
@@ -45,8 +46,9 @@
 	Seed     uint64
 	KeyBytes int // memory for kept results
 	Health   func(good bool)
-	Load     func(Load) // told with each timer, nil = nobody wants to know
-	Memory   Memory     // what outlives the node, nil = nothing
+	Load     func(Load)                         // told with each timer, nil = nobody wants to know
+	Word     func(together.Word, together.View) // the same, where the module thinks of the fleet
+	Memory   Memory                             // what outlives the node, nil = nothing
 	Log      *slog.Logger
 }
 
@@ -72,6 +74,40 @@
 		l.Warm = min(1, s.ColdFrom+(1-s.ColdFrom)*float64(n.now-n.born)/float64(s.Ramp))
 	}
 	n.cfg.Load(l)
+	if t := n.together(); t != nil && n.cfg.Word != nil {
+		n.cfg.Word(t.Word(), t.View(n.now))
+	}
+}
+
+// together is the module's part that thinks of the fleet, nil if it is off.
+func (n *Node) together() *together.Module {
+	m, ok := n.module.(interface {
+		Inspect() (rules.Pools, []rules.Waiting, rules.Together)
+	})
+	if !ok {
+		return nil
+	}
+	_, _, t := m.Inspect()
+	together, _ := t.(*together.Module)
+	return together
+}
+
+// Told takes the fleet's digest, as of the moment since.
+func (n *Node) Told(since time.Time, d together.Digest) {
+	n.post(event{kind: told, digest: &d, took: time.Since(since)})
+}
+
+// Together shows how the module thinks of the fleet, if it does and the loop
+// answers in time.
+func (n *Node) Together(most time.Duration) (together.View, bool) {
+	show := make(chan together.View, 1)
+	n.post(event{kind: inspect, seen: show})
+	select {
+	case v, ok := <-show:
+		return v, ok
+	case <-time.After(most):
+		return together.View{}, false
+	}
 }
 
 // kind is the kind of an event.
@@ -85,7 +121,8 @@
 	drain
 	intended // the intent of a run is durable, or could not be written
 	stray    // a run ended that this life did not ask for
-	inspect  // somebody wants to see the pools
+	inspect  // somebody wants to see the pools, or how the fleet is thought of
+	told     // the fleet's digest came
 )
 
 // decisions is what the loop needs of the module.
@@ -112,6 +149,9 @@
 	err  error             // intended
 	run  string            // stray
 	show chan []pools.View // inspect
+
+	seen   chan together.View // inspect
+	digest *together.Digest   // told, took ago
 }
 
 // item is a request in hand: what the module calls it, and what is left of it.
@@ -319,14 +359,26 @@
 	}
 }
 
+func (n *Node) inspect(e event) {
+	if e.show != nil {
+		e.show <- n.views()
+	}
+	if e.seen != nil {
+		if t := n.together(); t != nil {
+			e.seen <- t.View(n.now)
+		}
+		close(e.seen)
+	}
+}
+
 func (n *Node) views() []pools.View {
 	m, ok := n.module.(interface {
-		Inspect() (rules.Pools, []rules.Waiting)
+		Inspect() (rules.Pools, []rules.Waiting, rules.Together)
 	})
 	if !ok {
 		return nil
 	}
-	p, line := m.Inspect()
+	p, line, _ := m.Inspect()
 	if p, ok := p.(*pools.Pools); ok {
 		return p.Views(line)
 	}
@@ -417,7 +469,11 @@
 	case stray:
 		n.stray(e)
 	case inspect:
-		e.show <- n.views()
+		n.inspect(e)
+	case told:
+		if t := n.together(); t != nil {
+			t.Told(n.now, n.now-e.took, *e.digest)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/settings/together.go
@@ -0,0 +1,21 @@
+// This file owns how the INI file's [together] becomes the module's, for both hosts.
+// It must never decide what becomes of a refusal.
+
+package settings
+
+import (
+	"time"
+
+	"robinmast/decide/together"
+	"robinmast/internal/config"
+	"robinmast/rules"
+)
+
+// UseTogether lets the module refuse with the fleet in mind, if own switches it on.
+func UseTogether(set *rules.Settings, own *config.Config) {
+	if !own.Together.Enabled {
+		return
+	}
+	told := own.Together.Told
+	set.NewTogether = func(now time.Duration) rules.Together { return together.New(now, told) }
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -129,6 +129,8 @@
 	FallMultiple   float64       // mean runs a core that a warm node survives
 	FallWindow     time.Duration // span of that mean
 	NewPools       func() Pools  // pools by class, nil = one line for all
+
+	NewTogether func(now time.Duration) Together // refusals with the fleet in mind, nil = none
 }
 
 // Request is one try that was read and is now held.
@@ -167,6 +169,17 @@
 	Leaves(now time.Duration, bound int, line []Waiting) int
 }
 
+// Together says, where it is set, what becomes of refusals with the fleet in mind.
+// Which requests run, and how many, stays as it is. decide/together has it.
+type Together interface {
+	Arrived(now time.Duration, value, price float64, again bool)
+	Step(now time.Duration, drain, short float64) (lines []string)
+	InVain(line []Waiting, value float64, most time.Duration) bool // it would be held for longer than most
+	EndsWalk(now time.Duration, price float64) bool
+	RetryWorth() float64 // of a further try over a first one
+	Advice(now, base, most time.Duration) time.Duration
+}
+
 // Host carries out what the module decides.
 type Host interface {
 	Run(id RequestID)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -200,6 +200,8 @@
 	pools   Pools // nil = one line for all
 	waiting []Waiting
 	kept    bool // pools keep the free slots for others
+
+	together Together // nil = this node alone counts
 }
 
 // New starts a node's decisions. The seed is not used: nothing here is random.
@@ -233,6 +235,9 @@
 	if set.NewPools != nil {
 		m.pools = set.NewPools()
 	}
+	if set.NewTogether != nil {
+		m.together = set.NewTogether(now)
+	}
 	host.SetHealth(true, true)
 	m.wake()
 	return m, nil
@@ -263,13 +268,19 @@
 	}
 	m.setTimes(r)
 	r.overdue = m.overShare(r)
+	if m.together != nil {
+		m.together.Arrived(now, m.value(r), m.price(r), r.Retry)
+	}
 	late := m.draining && r.arrived > m.notice+m.set.DrainGrace-m.margin() // it must not run any more
 	if late || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 		m.turnAway(r, false)
 		return
 	}
 	if m.remember(r) {
-		m.line = append(m.line, r)
+		if m.line = append(m.line, r); m.inVain(r) {
+			m.overflow++
+			m.turnAway(r, m.endsWalk(r, false))
+		}
 	}
 }
 
@@ -456,19 +467,41 @@
 	return time.Duration(t * float64(time.Second))
 }
 
-// worth is what serving a request earns. A marked retry may be late already: its
-// client has waited before, nobody tells how long.
+// worth is what serving a request earns. A marked retry may be late: its client has waited before.
 func (m *Module) worth(r *request) float64 {
 	v := m.class(r).Worth
 	if r.overdue {
 		v *= m.set.OverShare
 	}
-	if r.Retry {
+	if r.Retry && m.together != nil {
+		v *= m.together.RetryWorth()
+	} else if r.Retry {
 		v *= retryWorth
 	}
 	return v
 }
 
+// price is what serving a request as a first try earns for each unit of its expected work.
+func (m *Module) price(r *request) float64 {
+	first := request{Request: r.Request, overdue: r.overdue}
+	if first.Retry = false; m.set.WorthByWork {
+		return m.worth(&first)
+	}
+	return m.worth(&first) / cmp.Or(r.Hint, m.usualRun(r)).Seconds()
+}
+
+// inVain: slots go by worth, and those that earn more would fill them until r is too old to start.
+func (m *Module) inVain(r *request) bool {
+	return m.together != nil && m.waits && m.pressure > worthFrom && float64(len(m.line)) > m.limit &&
+		m.together.InVain(m.seenByPools(), m.value(r), r.old-m.now)
+}
+
+// endsWalk reports whether a refused request is to try no other node; old: it was held too long here.
+func (m *Module) endsWalk(r *request, old bool) bool {
+	alone := old || m.pressure > lastAll || m.pressure > lastRetry && r.Retry
+	return m.together == nil && alone || m.together != nil && m.together.EndsWalk(m.now, m.price(r))
+}
+
 // value is what serving a held request earns for each unit of work.
 func (m *Module) value(r *request) float64 {
 	if m.set.WorthByWork {
@@ -490,7 +523,7 @@
 			worst = m.pools.Leaves(m.now, bound, m.seenByPools())
 		}
 		m.overflow++
-		m.turnAway(m.line[worst], m.pressure > lastAll || m.pressure > lastRetry && m.line[worst].Retry)
+		m.turnAway(m.line[worst], m.endsWalk(m.line[worst], false))
 	}
 }
 
@@ -538,8 +571,8 @@
 	return m.onCores, min(m.limit, m.crowd()), m.pressure
 }
 
-// Inspect shows the pools, nil if there are none, and the line as they see it, until the next event.
-func (m *Module) Inspect() (Pools, []Waiting) { return m.pools, m.seenByPools() }
+// Inspect shows what NewPools and NewTogether made, and the line as pools see it, until the next event.
+func (m *Module) Inspect() (Pools, []Waiting, Together) { return m.pools, m.seenByPools(), m.together }
 
 // next is the place of the request that gets a free slot: the oldest, but while
 // overflow lasts the one that earns most for its work, of equals the oldest.
@@ -569,7 +602,7 @@
 		}
 		r := m.line[i]
 		if m.tooOld(r) {
-			m.turnAway(r, m.now > r.old || m.forlorn(r))
+			m.turnAway(r, m.forlorn(r) || m.now > r.old && m.endsWalk(r, true))
 			continue
 		}
 		grown := r.KB * (m.set.RunFactor - 1)
@@ -603,11 +636,16 @@
 	}
 	m.limit = max(min(m.limit, m.crowd()), float64(m.set.Cores))
 	m.stepCalls()
+	var lines []string
+	if m.together != nil {
+		lines = m.together.Step(m.now, m.drainRate(), share)
+	}
 	m.drained, m.stood = 0, 0
 	if m.pools != nil {
-		for _, line := range m.pools.Step(m.now, min(m.limit, m.crowd())) {
-			m.host.Log(line)
-		}
+		lines = append(lines, m.pools.Step(m.now, min(m.limit, m.crowd()))...)
+	}
+	for _, line := range lines {
+		m.host.Log(line)
 	}
 }
 
@@ -901,7 +939,11 @@
 		return longest
 	}
 	wait := adviceShare * (1 + adviceGrow*m.pressure) * float64(len(m.line)) / max(m.drainRate(), m.limit)
-	return min(max(time.Duration(wait*float64(time.Second)), m.span(minAdvice)), longest)
+	advice := min(max(time.Duration(wait*float64(time.Second)), m.span(minAdvice)), longest)
+	if m.together != nil {
+		return m.together.Advice(m.now, advice, longest)
+	}
+	return advice
 }
 
 // Gone tells that nobody waits for a request any more.
@@ -932,7 +974,7 @@
 		}
 		switch {
 		case r.state == held && (late || m.tooOld(r)):
-			m.turnAway(r, late || m.now > r.old || m.forlorn(r))
+			m.turnAway(r, late || m.forlorn(r) || m.now > r.old && m.endsWalk(r, true))
 		case late:
 			m.giveUp(r)
 		}
