--- /dev/null
+++ b/decide/backoff/backoff.go
@@ -0,0 +1,83 @@
+// Package backoff decides when one of the program's own repeats may be made: a
+// reconnect, or a report that failed. All of a fleet lose the same peer at the same
+// moment, so that each waits a random time of its own, and none makes more than a
+// budget over a window allows. It must never do I/O, read a clock or log.
+//
+// Invariants, held by TestProperties: a wait lies between the floor and the most;
+// in any window no more repeats are made than the budget, whatever fails how often
+// and whoever wants to be quick.
+package backoff
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Settings are one link's. All times are above 0.
+type Settings struct {
+	Floor  time.Duration // the least wait after a failure
+	First  time.Duration // the span of the first wait; it doubles with each failure
+	Most   time.Duration // the most that the span grows to
+	Window time.Duration // the budget is for so long
+	Budget int           // tries in a window
+}
+
+// Backoff is one link's. It belongs to one goroutine.
+type Backoff struct {
+	set   Settings
+	rnd   *rand.Rand
+	span  time.Duration
+	made  []time.Duration // the last tries, Budget of them at most
+	Spent int             // times that the budget made a try wait
+}
+
+// New returns a link's backoff; rnd must differ from node to node.
+func New(set Settings, rnd *rand.Rand) *Backoff {
+	return &Backoff{set: set, rnd: rnd, span: set.First, made: make([]time.Duration, 0, max(set.Budget, 1))}
+}
+
+// Failed takes a failure and returns how long to wait before the next try: full
+// jitter, from the floor to the span, which doubles. Where the budget is spent it
+// is until the oldest try leaves the window.
+func (b *Backoff) Failed(now time.Duration) time.Duration {
+	wait := b.set.Floor
+	if over := b.span - b.set.Floor; over > 0 {
+		wait += time.Duration(b.rnd.Int64N(int64(over) + 1))
+	}
+	b.span = min(2*b.span, b.set.Most)
+	if free := b.free(now + wait); free > now+wait {
+		b.Spent++
+		wait = free - now
+	}
+	return wait
+}
+
+// Lost takes the loss of a link that was well: what all others lose now too. The
+// wait is spread over the whole of the most, not over the first span.
+func (b *Backoff) Lost(now time.Duration) time.Duration {
+	b.span = max(b.span, b.set.Most)
+	return b.Failed(now)
+}
+
+// Well takes a success: the next failure waits as the first did.
+func (b *Backoff) Well() { b.span = b.set.First }
+
+// Trying takes the word that a try is made now.
+func (b *Backoff) Trying(now time.Duration) {
+	if b.set.Budget <= 0 {
+		return
+	}
+	if len(b.made) == b.set.Budget {
+		copy(b.made, b.made[1:])
+		b.made = b.made[:len(b.made)-1]
+	}
+	b.made = append(b.made, now)
+}
+
+// free is when the budget allows a try, at or after the time given.
+func (b *Backoff) free(at time.Duration) time.Duration {
+	if b.set.Budget <= 0 || len(b.made) < b.set.Budget {
+		return at
+	}
+	return max(at, b.made[0]+b.set.Window)
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -17,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"robinmast/decide/backoff"
 	"robinmast/internal/stream"
 )
 
@@ -28,7 +30,15 @@
 	backoffMin = 50 * time.Millisecond
 	backoffMax = period
 	logGap     = 5 * time.Second
-	ringLimit  = 8 << 10 // a report, and what is read of an answer at a time
+
+	// A control service that is lost is lost to all nodes at once: they come back
+	// spread over controlMost, and each makes so many tries in a window at most. A
+	// service that came back drops nobody sooner than 3 s.
+	controlMost   = 2500 * time.Millisecond
+	controlWindow = 10 * time.Second
+	controlBudget = 16
+
+	ringLimit = 8 << 10 // a report, and what is read of an answer at a time
 )
 
 // Reporter reports one node's phase.
@@ -50,7 +60,8 @@
 	url    atomic.Pointer[string]
 	client *http.Client
 	log    *slog.Logger
-	period time.Duration // the constant, but in tests
+	period time.Duration    // the constant, but in tests
+	again  *backoff.Backoff // after failures, nil = as the membership service is used to
 	out    atomic.Bool
 	change chan struct{}
 }
@@ -72,6 +83,9 @@
 func NewControl(addr, name string, secure *tls.Config, body func() string, log *slog.Logger) *Reporter {
 	r := newReporter(addr, name, "/nodes/", "control service", log)
 	r.body = body
+	r.again = backoff.New(backoff.Settings{
+		Floor: backoffMin, First: 2 * backoffMin, Most: controlMost, Window: controlWindow, Budget: controlBudget,
+	}, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if secure != nil {
 		r.scheme = "https://"
 		r.client.Transport.(*http.Transport).TLSClientConfig = secure
@@ -138,10 +152,13 @@
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	defer r.client.CloseIdleConnections()
-	wait, failing := backoffMin, false
+	wait, failing, start := backoffMin, false, time.Now()
 	var logged time.Time
 	for ctx.Err() == nil {
 		began := time.Now()
+		if r.again != nil && failing {
+			r.again.Trying(began.Sub(start))
+		}
 		err := r.report(ctx)
 		if ctx.Err() != nil {
 			return
@@ -159,7 +176,13 @@
 				logged = time.Now()
 			}
 			pause, wait = wait, min(2*wait, backoffMax)
+			if r.again != nil {
+				pause = r.again.Failed(time.Since(start))
+			}
 		} else {
+			if r.again != nil {
+				r.again.Well()
+			}
 			r.Sent.Add(1)
 			if failing {
 				r.log.Info("reports to the " + r.what + " are taken again")
--- /dev/null
+++ b/internal/standin/fleet/together_test.go
@@ -0,0 +1,265 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var long = flag.Bool("fleet.long", false, "play the rehearsals at full size: 24 nodes, 10 s")
+
+// classes of the rehearsals: as on the bench's first site, smaller.
+const twoClasses = `
+[class.script-step]
+share = 0.77
+ms = 20
+aim = 800ms
+deadline = 2500ms
+[class.disclosure]
+share = 0.23
+ms = 20
+worth = 2
+aim = 800ms
+deadline = 2s
+`
+
+// fleetView is GET /fleet, as an operator sees it.
+type fleetView struct {
+	Nodes []struct {
+		Name, Follows, State string
+	}
+	Digest struct {
+		Nodes              int
+		Epoch              uint64
+		Drain, Demand, Cut float64
+	}
+}
+
+func view(ctx context.Context, addr string) (v fleetView, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/fleet", nil)
+	if err != nil {
+		return v, err
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return v, err
+	}
+	defer r.Body.Close()
+	return v, json.NewDecoder(r.Body).Decode(&v)
+}
+
+// watch looks at the fleet's view all the while, from outside.
+func watch(t *testing.T, s *Scenario, opt Options, each func(at time.Duration, v fleetView)) *Report {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var looking sync.WaitGroup
+	opt.Look = func(f *Fleet) {
+		addr, began := f.ControlAddrs()[0], time.Now()
+		looking.Go(func() {
+			for ctx.Err() == nil {
+				if v, err := view(ctx, addr); err == nil {
+					each(time.Since(began), v)
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		})
+	}
+	r := run(t, s, opt)
+	cancel()
+	looking.Wait()
+	return r
+}
+
+// Told: while the fleet gets twice what it can do there is a cut, every node that
+// asks follows it, and it is gone soon after; before it there is none. A node of
+// the old kind beside them is served all the same.
+func TestCutAppearsAndGoes(t *testing.T) {
+	s := scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 9\ntogether = told\ncontrol = 1\n[load]\nsteps = 0s 0.5, 3s 2, 6s 0.5\n[dispatchers]\nwalk = 2\nheed = 0\n"+twoClasses)
+	var mu sync.Mutex
+	var early, during, late, follow int
+	r := watch(t, s, build(t), func(at time.Duration, v fleetView) {
+		mu.Lock()
+		defer mu.Unlock()
+		cut := v.Digest.Cut > 0
+		switch {
+		case at < 2900*time.Millisecond && cut:
+			early++
+		case at > 4500*time.Millisecond && at < 6*time.Second && cut:
+			during++
+			n := 0
+			for _, node := range v.Nodes {
+				if node.Follows == "the cut" {
+					n++
+				}
+			}
+			if n == 3 {
+				follow++
+			}
+		case at > 8*time.Second && cut:
+			late++
+		}
+	})
+	if early > 0 || during < 8 || late > 0 || follow < 3 {
+		t.Errorf("seen with a cut: %d before, %d during, %d long after the overload; all followed it in %d", early, during, late, follow)
+	}
+	over, _ := r.Mean(4, 6)
+	before, _ := r.Mean(1, 3)
+	if over.Worth < 0.95*before.Worth {
+		t.Errorf("worth %.0f in 2 s at twice the capacity, %.0f at half of it", over.Worth, before.Worth)
+	}
+}
+
+// The service that tells is killed, and stopped, in the middle of an overload: the
+// nodes go on alone, service goes on, and its next life is followed again.
+func TestTellerIsLost(t *testing.T) {
+	s := scenario(t, `
+[fleet]
+nodes = 3
+cores = 2
+seconds = 12
+together = told
+control = 1
+[load]
+steps = 0s 2
+[dispatchers]
+walk = 2
+[fault.killed]
+at = 4s
+for = 4s
+what = kill
+on = control
+`+twoClasses)
+	var mu sync.Mutex
+	epochs := map[uint64]bool{}
+	again := 0
+	r := watch(t, s, build(t), func(at time.Duration, v fleetView) {
+		mu.Lock()
+		defer mu.Unlock()
+		if v.Digest.Epoch > 0 {
+			epochs[v.Digest.Epoch] = true
+		}
+		for _, n := range v.Nodes {
+			if at > 10*time.Second && n.Follows == "the cut" {
+				again++
+			}
+		}
+	})
+	if len(epochs) != 2 || again == 0 {
+		t.Errorf("%d lives of the service were seen, its second is followed in %d looks", len(epochs), again)
+	}
+	with, _ := r.Mean(2, 4)
+	without, _ := r.Mean(6, 8)
+	if without.Worth < 0.85*with.Worth {
+		t.Errorf("worth %.0f in 2 s while told, %.0f while the teller is away", with.Worth, without.Worth)
+	}
+}
+
+// Digests 2 s late are taken for what they are, old: trust falls, nobody follows
+// what no longer holds, and service is as if alone.
+func TestDigestsComeLate(t *testing.T) {
+	s := scenario(t, `
+[fleet]
+nodes = 3
+cores = 2
+seconds = 8
+together = told
+control = 1
+[load]
+steps = 0s 1.5
+[fault.late]
+at = 2s
+for = 6s
+what = delay
+link = nodes -> control
+delay = 1300ms
+`+twoClasses)
+	var mu sync.Mutex
+	followed, looks := 0, 0
+	watch(t, s, build(t), func(at time.Duration, v fleetView) {
+		mu.Lock()
+		defer mu.Unlock()
+		if at < 6*time.Second {
+			return
+		}
+		looks++
+		for _, n := range v.Nodes {
+			if n.Follows == "the cut" || n.Follows == "an older cut" {
+				followed++
+			}
+		}
+	})
+	if looks == 0 || followed > 0 {
+		t.Errorf("in %d looks %d nodes followed a digest that was 2.6 s old when it came", looks, followed)
+	}
+}
+
+// Nodes that lose the control service together come back spread out, and make
+// fewer tries than a pace that doubles to 0.7 s would.
+func TestNodesReturnSpread(t *testing.T) {
+	nodes, away, least := 6, 4, 300*time.Millisecond
+	if *long {
+		nodes, away, least = 24, 10, 2*time.Second
+	}
+	s := scenario(t, fmt.Sprintf(`
+[fleet]
+nodes = %d
+cores = 1
+seconds = %d
+control = 1
+[load]
+steps = 0s 0.2
+[fault.lost]
+at = 1s
+for = %ds
+what = kill
+on = control
+`, nodes, away+6, away))
+	opt := build(t)
+	var f *Fleet
+	opt.Look = func(x *Fleet) { f = x }
+	var logs []string
+	opt.Tell = func(s Second) {
+		if s.At == away+5 {
+			for i := range f.Nodes() {
+				logs = append(logs, f.Log(i))
+			}
+		}
+	}
+	run(t, s, opt)
+	stamp := regexp.MustCompile(`time=(\S+) .*reports to the control service are taken again`)
+	var back []time.Time
+	for _, text := range logs {
+		for line := range strings.Lines(text) {
+			if m := stamp.FindStringSubmatch(line); m != nil {
+				at, err := time.Parse(time.RFC3339Nano, m[1])
+				if err != nil {
+					t.Fatal(err)
+				}
+				back = append(back, at)
+				break
+			}
+		}
+	}
+	if len(back) < nodes {
+		t.Fatalf("%d of %d nodes came back", len(back), nodes)
+	}
+	slices.SortFunc(back, func(a, b time.Time) int { return a.Compare(b) })
+	spread := back[len(back)-1].Sub(back[0])
+	if spread < least {
+		t.Errorf("%d nodes came back within %v", nodes, spread)
+	}
+	t.Logf("%d nodes came back within %v", nodes, spread)
+}
