--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"robinmast/decide/fleet"
+	"robinmast/decide/together"
 	"robinmast/internal/standin"
 	"robinmast/internal/standin/proxy"
 	"robinmast/internal/store"
@@ -546,3 +547,54 @@
 		done.Wait()
 	}
 }
+
+// A node that thinks of the fleet and asks gets its digest with the answer to its
+// report; one of the old kind, or one that does not ask, gets 204 as ever.
+func TestDigestForWhoAsks(t *testing.T) {
+	g := newStage(t, nil)
+	report := func(name string, seq uint64, w *word) *httptest.ResponseRecorder {
+		text, _ := json.Marshal(message{Addr: "127.0.0.1:1", Incarnation: 5, Seq: seq, Phase: "up", Healthy: true, Warm: 1, Limit: 8, Together: w})
+		out := httptest.NewRecorder()
+		g.s.Handler().ServeHTTP(out, httptest.NewRequest(http.MethodPut, "/nodes/"+name, strings.NewReader(string(text))))
+		return out
+	}
+	full := &word{Drain: 100, Short: 1, Demand: map[string]float64{"70": 50, "60": 80, "50": 70, "-3": 9, "960": 9, "x": 9}, Ask: true}
+	var d together.Digest
+	seq := uint64(0)
+	standin.Eventually(t, "a digest with a cut", func() bool {
+		seq++
+		report("a", seq, full)
+		out := report("b", seq, full)
+		return out.Code == http.StatusOK && json.Unmarshal(out.Body.Bytes(), &d) == nil && d.Cut > 0
+	})
+	if d.Epoch == 0 || d.Seq == 0 || d.Nodes != 2 || d.Drain != 200 || d.Demand != 400 {
+		t.Errorf("digest %+v", d)
+	}
+	if out := report("c", 1, nil); out.Code != http.StatusNoContent || out.Body.Len() > 0 {
+		t.Errorf("a node of the old kind got %d %q", out.Code, out.Body)
+	}
+	quiet := *full
+	quiet.Ask = false
+	if out := report("d", 1, &quiet); out.Code != http.StatusNoContent {
+		t.Errorf("a node that did not ask got %d", out.Code)
+	}
+	seq++
+	full.Cut, full.Trust = d.Cut, 1
+	report("a", seq, full)
+	out := httptest.NewRecorder()
+	g.s.Handler().ServeHTTP(out, httptest.NewRequest(http.MethodGet, "/fleet", nil))
+	var v Fleet
+	if err := json.Unmarshal(out.Body.Bytes(), &v); err != nil || v.Digest.Cut != d.Cut {
+		t.Fatalf("the fleet: %v, %+v", err, v.Digest)
+	}
+	standin.Eventually(t, "how nodes stand to the cut", func() bool {
+		out := httptest.NewRecorder()
+		g.s.Handler().ServeHTTP(out, httptest.NewRequest(http.MethodGet, "/fleet", nil))
+		_ = json.Unmarshal(out.Body.Bytes(), &v)
+		got := map[string]string{}
+		for _, n := range v.Nodes {
+			got[n.Name] = n.Follows
+		}
+		return got["a"] == "the cut" && got["b"] == "hears no digest" && got["c"] == "" && got["d"] == "alone"
+	})
+}
--- a/internal/standin/fleet/child.go
+++ b/internal/standin/fleet/child.go
@@ -260,7 +260,7 @@
 }
 
 // writeNode writes a node's two files into dir.
-func (s *Scenario) writeNode(dir, name, listen, pool, members string, seed uint64, control []string) error {
+func (s *Scenario) writeNode(dir, name, listen, pool, members string, seed uint64, control []string, plain bool) error {
 	text, err := json.Marshal(map[string]any{
 		"name": name, "listen": listen, "pool": pool, "members": members, "seed": fmt.Sprintf("%016x", seed), "stop_ms": 2000,
 		"limits":   map[string]any{"cores": s.Fleet.NodeCores, "memory_mb": s.Fleet.MemoryMB, "sockets": 384},
@@ -276,7 +276,7 @@
 	if len(control) > 0 {
 		fmt.Fprintf(&own, "[control]\naddress = %s\nadvertise = %s\n", control[0], listen)
 	}
-	if s.Fleet.Together != "off" {
+	if s.Fleet.Together != "off" && !plain {
 		fmt.Fprintf(&own, "[together]\nenabled = true\ntold = %v\n", s.Fleet.Together == "told")
 	}
 	return errors.Join(
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -289,7 +289,7 @@
 	if err := f.startPool(i, false); err != nil {
 		return err
 	}
-	if err := f.s.writeNode(n.dir, name, n.addr, n.toPool.Addr(), toMembers.Addr(), f.s.Fleet.Seed+uint64(i), ctl); err != nil {
+	if err := f.s.writeNode(n.dir, name, n.addr, n.toPool.Addr(), toMembers.Addr(), f.s.Fleet.Seed+uint64(i), ctl, i < f.s.Fleet.Plain); err != nil {
 		return err
 	}
 	return f.more(n)
--- a/internal/standin/fleet/report.go
+++ b/internal/standin/fleet/report.go
@@ -109,10 +109,11 @@
 	WorthShare  float64 `json:"worth_share"`  // of the worth offered, in time
 	RefusedP50  float64 `json:"refused_p50_ms"`
 	RefusedP99  float64 `json:"refused_p99_ms"`
-	RanTwice    int     `json:"ran_twice"` // keyed or unsafe work that ran more than once in one life of a node
-	Back        float64 `json:"back_s"`    // from the last fault's end until 0.95 of the worth before the first; -1 = not, 0 = there was no fault
-	Before      float64 `json:"before"`    // worth a second served before the first fault
-	During      float64 `json:"during"`    // and while faults lasted
+	RefusedSoon float64 `json:"refused_within_20ms"` // share of the refused first tries
+	RanTwice    int     `json:"ran_twice"`           // keyed or unsafe work that ran more than once in one life of a node
+	Back        float64 `json:"back_s"`              // from the last fault's end until 0.95 of the worth before the first; -1 = not, 0 = there was no fault
+	Before      float64 `json:"before"`              // worth a second served before the first fault
+	During      float64 `json:"during"`              // and while faults lasted
 
 	slices []float64
 }
@@ -232,6 +233,8 @@
 		return float64(t.refusedIn[int(q*float64(len(t.refusedIn)-1))]) / float64(time.Millisecond)
 	}
 	r.RefusedP50, r.RefusedP99 = quantile(0.5), quantile(0.99)
+	soon, _ := slices.BinarySearch(t.refusedIn, 20*time.Millisecond)
+	r.RefusedSoon = float64(soon) / float64(max(len(t.refusedIn), 1))
 	r.back()
 }
 
@@ -286,7 +289,7 @@
 			row(name, "%d tries, %d requests", n, q)
 		}
 	}
-	row("refused first tries", "answered in %.1f ms (p50), %.1f ms (p99)", r.RefusedP50, r.RefusedP99)
+	row("refused first tries", "answered in %.1f ms (p50), %.1f ms (p99), %.3f of them within 20 ms", r.RefusedP50, r.RefusedP99, r.RefusedSoon)
 	row("probes, connections", "%d, %d", r.Tally.Probes, r.Tally.Connects)
 	if len(r.Marks) > 0 {
 		row("worth a second", "%.0f before the faults, %.0f while they lasted", r.Before, r.During)
--- a/internal/standin/fleet/scenario.go
+++ b/internal/standin/fleet/scenario.go
@@ -39,6 +39,7 @@
 	Cores       int           `ini:"cores"`      // of each worker pool, 1 to 16
 	Control     int           `ini:"control"`    // control services, 0 to 5
 	Together    string        `ini:"together"`   // off, alone or told
+	Plain       int           `ini:"plain"`      // so many of the nodes run without [together], as older programs do
 	Results     bool          `ini:"results"`    // each node remembers results in a folder of its own
 	Seconds     int           `ini:"seconds"`    // 2 to 600
 	Seed        uint64        `ini:"seed"`       // of arrivals, work, choices and jitter
@@ -248,6 +249,7 @@
 	}
 	f, d := &s.Fleet, &s.Dispatchers
 	within("fleet", "nodes", float64(f.Nodes), 1, 24)
+	within("fleet", "plain", float64(f.Plain), 0, float64(f.Nodes))
 	within("fleet", "cores", float64(f.Cores), 1, 16)
 	within("fleet", "control", float64(f.Control), 0, 5)
 	within("fleet", "seconds", float64(f.Seconds), 2, 600)
--- a/internal/standin/fleet/together_test.go
+++ b/internal/standin/fleet/together_test.go
@@ -263,3 +263,82 @@
 	}
 	t.Logf("%d nodes came back within %v", nodes, spread)
 }
+
+// Refused first tries hear so at once, instead of being held in vain: with the
+// defence switched off the same night fails this.
+func TestRefusedAtOnce(t *testing.T) {
+	night := func(together string) *Report {
+		return run(t, scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 7\ntogether = "+together+
+			"\n[load]\nsteps = 0s 0.5, 1s 1.6\n[dispatchers]\nwalk = 2\n"+twoClasses), build(t))
+	}
+	with, without := night("alone"), night("off")
+	if with.RefusedSoon < 0.75 {
+		t.Errorf("%.3f of the refused first tries heard so within 20 ms", with.RefusedSoon)
+	}
+	if without.RefusedSoon > with.RefusedSoon-0.15 {
+		t.Errorf("%.3f did with the defence switched off, %.3f with it: this test shows nothing", without.RefusedSoon, with.RefusedSoon)
+	}
+	a, _ := with.Mean(2, 7)
+	b, _ := without.Mean(2, 7)
+	if a.Worth < 0.97*b.Worth {
+		t.Errorf("worth %.0f with the defence, %.0f without", a.Worth, b.Worth)
+	}
+}
+
+// One node is full while the others have room: walks are not ended, and what fits
+// is served, alone and told.
+func TestOneNodeFull(t *testing.T) {
+	for _, together := range []string{"alone", "told"} {
+		t.Run(together, func(t *testing.T) {
+			r := run(t, scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 7\ncontrol = 1\ntogether = "+together+`
+[load]
+steps = 0s 0.5
+[dispatchers]
+walk = 2
+[fault.full]
+at = 1s
+for = 6s
+what = slow
+factor = 6
+on = nodes:1
+`+twoClasses), build(t))
+			if r.Tally.Tries[refused] < 10 {
+				t.Fatalf("%d tries were refused: nothing was full", r.Tally.Tries[refused])
+			}
+			lost := 0
+			for e, n := range r.Tally.Requests {
+				if end(e) != served {
+					lost += n
+				}
+			}
+			if share := float64(lost) / float64(r.Tally.Asked); share > 0.001 {
+				t.Errorf("%d of %d requests were not served", lost, r.Tally.Asked)
+			}
+			if ended := float64(r.Tally.Ended) / float64(r.Tally.Tries[refused]); ended > 0.1 {
+				t.Errorf("%.2f of the refusals ended a walk", ended)
+			}
+		})
+	}
+}
+
+// Half of the nodes are older programs without [together]: all rules hold, and the
+// fleet serves as much as one that is all of a kind, within what chance does.
+func TestOldBesideNew(t *testing.T) {
+	r := run(t, scenario(t, `
+[fleet]
+nodes = 4
+cores = 1
+seconds = 8
+control = 1
+together = told
+plain = 2
+[load]
+steps = 0s 0.6, 3s 2
+[dispatchers]
+walk = 3
+`+twoClasses), build(t))
+	over, _ := r.Mean(4, 8)
+	if rate := over.Worth / 4; rate < 0.95*r.Capacity*1.23 {
+		t.Errorf("worth %.0f a second at twice the capacity, all cores are worth %.0f", rate, r.Capacity*1.23)
+	}
+}
