--- a/decide/together/digest.go
+++ b/decide/together/digest.go
@@ -85,9 +85,9 @@
 	wordLife  = 2500 * time.Millisecond // a word counts for so long: three reports
 	trimTimes = 4.0                     // of the median that one node's word counts at most
 	trimFrom  = 3                       // nodes from which there is a median to speak of
-	cutOver   = 1.03                    // demand over drain from which the fleet counts as full
+	cutOver   = 1.05                    // demand over drain from which the fleet counts as full
 	cutUntil  = 0.97                    // and under which it no longer does
-	shortMean = 0.3                     // mean shortness of slots without which it is not full, whatever demand says
+	shortMean = 0.7                     // mean shortness of slots without which it is not full, whatever demand says
 	cutStep   = 3                       // bands that the cut moves at most in a digest
 	mostWords = 20_000
 )
--- a/decide/together/together.go
+++ b/decide/together/together.go
@@ -36,7 +36,7 @@
 	spread     = 0.5                    // of the advice, either way, over which appointments lie: its mean stays
 	longer     = 1.05                   // growth a step of the advice while returns exceed their share
 	longest    = 1.5                    // times at most: who stays away for long lets slots run dry
-	least      = 0.6                    // times at least, while returns are few: who stays away sends nothing dear either
+	least      = 0.75                   // times at least, while returns are few: who stays away sends nothing dear either
 	shorter    = 0.8                    // of the growth stays a step while they do not
 	returnsOK  = 0.15                   // further tries over what drains that are no harm: a usual retry budget
 	dry        = 0.95                   // of the time slots must be short, or advice is not lengthened
--- a/internal/standin/fleet/together_test.go
+++ b/internal/standin/fleet/together_test.go
@@ -342,3 +342,54 @@
 		t.Errorf("worth %.0f a second at twice the capacity, all cores are worth %.0f", rate, r.Capacity*1.23)
 	}
 }
+
+// A liar among the nodes, and the word of a dead incarnation, make no cut where the
+// fleet has room, and keep none from anybody.
+func TestLiarAmongNodes(t *testing.T) {
+	s := scenario(t, "[fleet]\nnodes = 3\ncores = 1\nseconds = 6\ncontrol = 1\ntogether = told\n[load]\nsteps = 0s 0.5\n"+twoClasses)
+	opt := build(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var lying sync.WaitGroup
+	taken, cuts := 0, 0
+	opt.Look = func(f *Fleet) {
+		addr := f.ControlAddrs()[0]
+		lying.Go(func() {
+			for seq := 1; ctx.Err() == nil; seq++ {
+				for name, inc := range map[string]int{"liar": 9, "n1": 1} { // n1's is of a life long past
+					body := fmt.Sprintf(`{"addr":"127.0.0.1:9","incarnation":%d,"seq":%d,"phase":"up","healthy":true,"warm":1,"limit":1,`+
+						`"together":{"drain":0.001,"short":1,"demand":{"80":1000000},"ask":true}}`, inc, seq)
+					q, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+addr+"/nodes/"+name, strings.NewReader(body))
+					if err != nil {
+						return
+					}
+					if r, err := http.DefaultClient.Do(q); err == nil {
+						if r.StatusCode == http.StatusOK {
+							taken++
+						}
+						r.Body.Close()
+					}
+				}
+				if v, err := view(ctx, addr); err == nil && v.Digest.Cut > 0 && seq > 20 { // the others have spoken
+					cuts++
+				}
+				select {
+				case <-ctx.Done():
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		})
+	}
+	r := run(t, s, opt)
+	cancel()
+	lying.Wait()
+	if taken < 10 {
+		t.Fatalf("%d lies were taken: nobody lied", taken)
+	}
+	if cuts > 0 {
+		t.Errorf("a cut was seen %d times", cuts)
+	}
+	if r.ServedShare < 0.999 {
+		t.Errorf("%.4f served at half of what fits", r.ServedShare)
+	}
+}
