Rehearsals hold their children's ports: a node could find its port taken and not start

Seen: one play of busy.ini of about sixty counted a process that ended unasked, with one node of six not serving from the first second and no try unreachable. The node's address was found by listening on port 0 and closing; a fault proxy that listened on port 0 before the node started could be given the same port, and dispatchers then reached a link. Ruled out: the node (its log of four further plays holds no fault, and tries to a dead node would have been unreachable). Ports are now held, bound and not listening.

--- a/internal/standin/fleet/child.go
+++ b/internal/standin/fleet/child.go
@@ -215,13 +215,24 @@
 	return 0
 }
 
-// freeAddr is an address of loopback at which nobody listens just now.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// holdAddr takes a port of loopback for a child and holds it, bound and not
+// listening, so that nobody is given it for port 0 before the child listens there,
+// nor while the child is away. It is free again once the file is closed.
+func holdAddr() (addr string, held *os.File, err error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return "", err
+		return "", nil, fmt.Errorf("hold a port: %w", err)
 	}
-	return ln.Addr().String(), ln.Close()
+	held = os.NewFile(uintptr(fd), "held port")
+	err = errors.Join(
+		syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), // the child's listener sets it too
+		syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err2 := syscall.Getsockname(fd)
+	in, ok := name.(*syscall.SockaddrInet4)
+	if err = errors.Join(err, err2); err != nil || !ok {
+		return "", nil, errors.Join(fmt.Errorf("hold a port: %w", err), held.Close())
+	}
+	return fmt.Sprintf("127.0.0.1:%d", in.Port), held, nil
 }
 
 // reachable waits until an address can be connected to.
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -48,6 +48,7 @@
 	dispatchers []*dispatcher
 	toNode      [][]*Link // by dispatcher and node
 	nextTxn     atomic.Uint64
+	held        []*os.File          // ports of children
 	links       map[string][]linkAt // by "from->to" of groups
 
 	mu     sync.Mutex
@@ -162,6 +163,9 @@
 		_ = f.members.Close()
 	}
 	f.asks.Wait()
+	for _, h := range f.held {
+		_ = h.Close()
+	}
 }
 
 // link makes a link and files it under its groups.
@@ -238,12 +242,21 @@
 	return nil
 }
 
+// addr takes a port for a child until the rehearsal is over.
+func (f *Fleet) addr() (string, error) {
+	addr, held, err := holdAddr()
+	if err == nil {
+		f.held = append(f.held, held)
+	}
+	return addr, err
+}
+
 func (f *Fleet) addControl(i int) (err error) {
 	c := &service{}
-	if c.reports, err = freeAddr(); err != nil {
+	if c.reports, err = f.addr(); err != nil {
 		return err
 	}
-	if c.xds, err = freeAddr(); err != nil {
+	if c.xds, err = f.addr(); err != nil {
 		return err
 	}
 	name := fmt.Sprintf("control%d", i+1)
@@ -267,7 +280,7 @@
 	if err := os.Mkdir(n.dir, 0o700); err != nil {
 		return err
 	}
-	if n.addr, err = freeAddr(); err != nil {
+	if n.addr, err = f.addr(); err != nil {
 		return err
 	}
 	if n.toPool, err = f.link("nodes", i, "pools", i, ""); err != nil {
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -300,3 +300,25 @@
 		t.Errorf("back after %v s, before %v, during %v", r.Back, r.Before, r.During)
 	}
 }
+
+// A child's port is given to nobody else while it is away, and the child can have it.
+func TestHeldPorts(t *testing.T) {
+	addr, held, err := holdAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	for range 2 { // it may come back
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			t.Fatalf("a held port can't be listened on: %v", err)
+		}
+		if err := ln.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		c.Close()
+		t.Error("somebody listens on a held port")
+	}
+}
