--- a/decide/backoff/backoff.go
+++ b/decide/backoff/backoff.go
@@ -13,6 +13,11 @@
 	"time"
 )
 
+// steady is the least wait over the most once waits have grown to it: who comes back
+// at a random moment between even waits is spread over all of one, while full jitter
+// would bring half of them back in its first third.
+const steady = 0.75
+
 // Settings are one link's. All times are above 0.
 type Settings struct {
 	Floor  time.Duration // the least wait after a failure
@@ -37,11 +42,15 @@
 }
 
 // Failed takes a failure and returns how long to wait before the next try: full
-// jitter, from the floor to the span, which doubles. Where the budget is spent it
+// jitter, from the floor to the span, which doubles; once it is the most, the upper
+// part of it only. Where the budget is spent it
 // is until the oldest try leaves the window.
 func (b *Backoff) Failed(now time.Duration) time.Duration {
 	wait := b.set.Floor
-	if over := b.span - b.set.Floor; over > 0 {
+	if b.span >= b.set.Most { // phases are random by now, and even waits keep them spread evenly
+		wait = max(wait, time.Duration(steady*float64(b.set.Most)))
+	}
+	if over := b.span - wait; over > 0 {
 		wait += time.Duration(b.rnd.Int64N(int64(over) + 1))
 	}
 	b.span = min(2*b.span, b.set.Most)
@@ -52,13 +61,6 @@
 	return wait
 }
 
-// Lost takes the loss of a link that was well: what all others lose now too. The
-// wait is spread over the whole of the most, not over the first span.
-func (b *Backoff) Lost(now time.Duration) time.Duration {
-	b.span = max(b.span, b.set.Most)
-	return b.Failed(now)
-}
-
 // Well takes a success: the next failure waits as the first did.
 func (b *Backoff) Well() { b.span = b.set.First }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -34,7 +34,7 @@
 	// A control service that is lost is lost to all nodes at once: they come back
 	// spread over controlMost, and each makes so many tries in a window at most. A
 	// service that came back drops nobody sooner than 3 s.
-	controlMost   = 2500 * time.Millisecond
+	controlMost   = 2800 * time.Millisecond
 	controlWindow = 10 * time.Second
 	controlBudget = 16
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,10 @@
 		l.Warm = min(1, s.ColdFrom+(1-s.ColdFrom)*float64(n.now-n.born)/float64(s.Ramp))
 	}
 	n.cfg.Load(l)
-	if t := n.together(); t != nil && n.cfg.Word != nil {
+	if n.cfg.Word == nil {
+		return
+	}
+	if t := n.together(); t != nil {
 		n.cfg.Word(t.Word(), t.View(n.now))
 	}
 }
