A rehearsal that is cut short says so instead of printing a table of half a night

Seen: an interrupted rehearse ended with status 0 and a report as if it were whole. Run now returns an error; a test cuts one short and finds no child and no folder left. Making a request stood twice in the package; it is one function.

--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -134,6 +134,9 @@
 	f.stop()
 	f.asks.Wait()
 	f.finish(r)
+	if err := ctx.Err(); err != nil {
+		return r, fmt.Errorf("the rehearsal was cut short: %w", err)
+	}
 	if opt.Keep != "" {
 		err = f.keep()
 	}
@@ -399,10 +402,7 @@
 		if f.pause(max(time.Until(f.began.Add(a.at)), 0)) != nil {
 			break
 		}
-		q := &request{arrival: a, class: &f.s.Classes[a.class], rnd: rand.New(rand.NewPCG(a.seed, 5)),
-			began: f.began.Add(a.at), unique: fmt.Sprintf("k%016x", a.seed)}
-		f.note(func(t *tally) { t.Asked++; t.Offered += f.worth(q) })
-		f.asks.Go(func() { f.play(q) })
+		f.ask(a, f.began.Add(a.at))
 	}
 	seconds.Wait()
 	f.stop()
@@ -410,6 +410,14 @@
 	return r
 }
 
+// ask lets a desktop begin a request.
+func (f *Fleet) ask(a arrival, began time.Time) {
+	q := &request{arrival: a, class: &f.s.Classes[a.class], rnd: rand.New(rand.NewPCG(a.seed, 5)),
+		began: began, unique: fmt.Sprintf("k%016x", a.seed)}
+	f.note(func(t *tally) { t.Asked++; t.Offered += f.worth(q) })
+	f.asks.Go(func() { f.play(q) })
+}
+
 // turn carries out the faults.
 func (f *Fleet) turn() {
 	for _, t := range f.s.turns() {
@@ -583,9 +591,7 @@
 		for range int(f.s.capacity()) {
 			a := arrival{class: rnd.IntN(len(f.s.Classes)), dispatcher: rnd.IntN(len(f.dispatchers)), seed: rnd.Uint64()}
 			a.ms = f.s.Classes[a.class].Ms * (0.5 + rnd.ExpFloat64()/2)
-			q := &request{arrival: a, class: &f.s.Classes[a.class], rnd: rand.New(rand.NewPCG(a.seed, 5)), began: time.Now(), unique: fmt.Sprintf("k%016x", a.seed)}
-			f.note(func(t *tally) { t.Asked++; t.Offered += f.worth(q) })
-			f.asks.Go(func() { f.play(q) })
+			f.ask(a, time.Now())
 		}
 	}
 }
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -322,3 +322,30 @@
 		t.Error("somebody listens on a held port")
 	}
 }
+
+// A rehearsal that is cut short says so, and leaves no child and no folder behind.
+func TestCutShort(t *testing.T) {
+	opt := build(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var f *Fleet
+	var pids []string
+	opt.Look = func(x *Fleet) {
+		f = x
+		for _, n := range x.nodes {
+			pids = append(pids, fmt.Sprint(n.child.cmd.Process.Pid))
+		}
+		time.AfterFunc(500*time.Millisecond, cancel)
+	}
+	if _, err := Run(ctx, scenario(t, "[fleet]\nnodes = 2\ncores = 1\nseconds = 60\ncontrol = 1\n"), opt); !errors.Is(err, context.Canceled) {
+		t.Errorf("a rehearsal that was cut short ended with %v", err)
+	}
+	for _, pid := range pids {
+		if _, err := os.Stat("/proc/" + pid); err == nil {
+			t.Errorf("process %s is left behind", pid)
+		}
+	}
+	if _, err := os.Stat(f.dir); !errors.Is(err, os.ErrNotExist) || len(pids) != 2 {
+		t.Errorf("%d nodes ran; their folder: %v", len(pids), err)
+	}
+}
