One place ends a connection: answer what was read, FIN, read on, close

Cause, by reading: the node closed connections over bytes nobody had read (at its exit, when idle, for room, behind broken input), which resets them and takes answers on their way along; it let go of requests that stood open, or lay before broken bytes in one segment; a request that the reader had not come to when an idle connection was closed went unanswered; closing the listener reset connections that the machine had accepted, requests included.

Change: internal/stream/close.go is the only place that closes. The reader ends the connection itself, between a last look that finds nothing and the FIN, so that nothing is handed on after it; then it reads and discards, bounded by 256 KiB and 0.5 s. Ends are planned: Retire (input keeps it), Leave (takes what comes until all is answered), Stop (takes no more). The listener takes what the machine has accepted before it closes. The notice has a channel of its own, so that a flood of SIGHUP crowds out none; a configuration is read beside the loop; a port that a former process still holds is waited for, 10 s at most; parts that hang do not keep the exit.

--- a/cmd/robinmast/config.go
+++ b/cmd/robinmast/config.go
@@ -36,6 +36,15 @@
 	names settings.Names
 	seed  uint64
 	own   *config.Config // the node's own settings, not the platform's
+	began time.Time      // when the process began
+}
+
+// age is how long the process has been there.
+func (c *platform) age() time.Duration {
+	if c.began.IsZero() {
+		return 0
+	}
+	return time.Since(c.began)
 }
 
 // Where the platform sets no limit, these hold.
--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -48,6 +49,11 @@
 	quietExit    = 100 * time.Millisecond // nothing may come in for so long before it leaves early
 	flushTimeout = 100 * time.Millisecond // for the last answers
 	logFlush     = 50 * time.Millisecond  // for the last log lines
+	leaveMost    = time.Second            // for connections to end once all is answered
+	killMargin   = 60 * time.Millisecond  // before the stop, at which connections are given up
+	endMost      = time.Second            // for the parts to end, at least
+	listenWait   = 20 * time.Millisecond  // between tries to listen while another process holds the address
+	listenMost   = 10 * time.Second       // of them
 	upkeepSpread = 10 * time.Second       // over which nodes that come back together begin their stores' upkeep
 )
 
@@ -57,15 +63,16 @@
 // anything listens is one line on standard error, later ones are logged.
 func serveNode(own *config.Config) error {
 	began := time.Now()
-	signals := make(chan os.Signal, 16)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	leave, other := make(chan os.Signal, 1), make(chan os.Signal, 16) // apart: no flood of the others crowds a notice out
+	signal.Notify(leave, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(other, syscall.SIGHUP, syscall.SIGUSR1)
 	signal.Ignore(syscall.SIGPIPE) // else the node would die with the reader of its log
 	cfg, err := load(os.Getenv)
 	if err != nil {
 		return failure{error: err, status: statusConfig}
 	}
 	limit(cfg)
-	cfg.own = own
+	cfg.own, cfg.began = own, began
 	settings.UseTogether(&cfg.set, own)
 	if err := settings.UsePools(&cfg.set, cfg.names, own); err != nil {
 		return failure{error: err, status: statusConfig}
@@ -83,11 +90,17 @@
 		return failure{error: err, status: statusFailed}
 	}
 	defer shut()
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen(cfg.Listen, leave, log)
 	if err != nil {
+		out.close(logFlush)
 		return failure{error: fmt.Errorf("listen: %w", err), status: statusFailed}
 	}
-	err = serve(cfg, mem, back, ln, signals, func() (*platform, error) { return load(os.Getenv) }, log)
+	if ln == nil {
+		log.Info("notice to leave before anything listened")
+		out.close(logFlush)
+		return nil
+	}
+	err = serve(cfg, mem, back, ln, notices{leave, other}, func() (*platform, error) { return load(os.Getenv) }, log)
 	if err != nil {
 		log.Error("node failed", "err", err)
 	}
@@ -98,6 +111,31 @@
 	return nil
 }
 
+// listen opens the listener. A port that a former process still holds is waited
+// for, as that one is about to end. Without a listener and an error it was told to leave.
+func listen(addr string, leave <-chan os.Signal, log *slog.Logger) (net.Listener, error) {
+	for began, told := time.Now(), false; ; {
+		select {
+		case <-leave:
+			return nil, nil
+		default:
+		}
+		ln, err := net.Listen("tcp", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > listenMost {
+			return ln, err
+		}
+		if !told {
+			told = true
+			log.Warn("another process holds the address, waiting for it to end", "listen", addr, "most", listenMost)
+		}
+		select {
+		case <-leave:
+			return nil, nil
+		case <-time.After(listenWait):
+		}
+	}
+}
+
 // remember opens what outlives the node, nil if [results] is off. A store that
 // can't be opened ends the start, or leaves the node without memory, as set.
 func remember(cfg *platform, log *slog.Logger) (*recall.Memory, error) {
@@ -166,17 +204,30 @@
 	node   *node.Node
 	memory *recall.Memory // nil = nothing is remembered
 
+	reloaded chan reloaded // a configuration that was read anew
+	reading  bool          // one is being read
+	again    bool          // it was asked for meanwhile
+
 	control *controlReport   // nil = no reports to a control service
 	back    *comeback.Keeper // nil = the way back to full service is not looked at
 }
 
+// notices are the signals: to leave, and all others. One channel may be both.
+type notices struct{ leave, other <-chan os.Signal }
+
+// reloaded is what came of reading the configuration anew.
+type reloaded struct {
+	cfg *platform
+	err error
+}
+
 // serve runs the node until it has left; reload reads the configuration anew.
 func serve(
-	cfg *platform, mem *recall.Memory, back *comeback.Keeper, ln net.Listener, signals <-chan os.Signal, reload func() (*platform, error), log *slog.Logger,
+	cfg *platform, mem *recall.Memory, back *comeback.Keeper, ln net.Listener, signals notices, reload func() (*platform, error), log *slog.Logger,
 ) error {
 	memory := int64(cfg.Limits.MemoryMB * (1 << 20))
 	p := &parts{
-		cfg: cfg, reload: reload, log: log, memory: mem, back: back,
+		cfg: cfg, reload: reload, log: log, memory: mem, back: back, reloaded: make(chan reloaded, 1),
 		ledger: &exchange.Ledger{}, report: members.New(cfg.Members, cfg.Name, log),
 	}
 	nc := node.Config{
@@ -246,23 +297,43 @@
 		}
 	}
 	log.Info("node started", "listen", cfg.Listen, "pool", cfg.Pool, "members", cfg.Members,
-		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets)
+		"memory_mb", cfg.Limits.MemoryMB, "sockets", cfg.Limits.Sockets, "after_ms", cfg.age().Milliseconds())
 
 	for {
+		var sig os.Signal
 		select {
 		case err := <-failed:
 			return err
-		case sig := <-signals:
-			if p.told(sig) {
-				continue
-			}
-			p.drain(signals)
-			p.front.Shut()
-			cancel()
-			running.Wait()
-			p.count(log, lineStopped)
-			return nil
+		case r := <-p.reloaded:
+			p.readdress(r)
+			continue
+		case sig = <-signals.leave:
+		case sig = <-signals.other:
+		}
+		if p.told(sig) {
+			continue
 		}
+		notice := time.Now()
+		p.drain(notice, signals)
+		cancel()
+		p.ended(&running, notice)
+		p.count(log, lineStopped)
+		return nil
+	}
+}
+
+// ended waits for the parts to end. One that hangs does not keep the process: all
+// is answered and no connection is left.
+func (p *parts) ended(running *sync.WaitGroup, notice time.Time) {
+	done := make(chan struct{})
+	go func() {
+		running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(max(p.cfg.stop()-time.Since(notice)-killMargin/2, endMost)):
+		p.log.Error("a part of the node did not end in time")
 	}
 }
 
@@ -273,18 +344,35 @@
 	case syscall.SIGUSR1:
 		p.count(p.log, linePresent)
 	case syscall.SIGHUP:
-		p.readdress()
+		p.reread()
 	default:
 		return false
 	}
 	return true
 }
 
+// reread reads the configuration anew, beside the loop: a file that can't be read
+// to its end must not keep a notice to leave from being heard.
+func (p *parts) reread() {
+	if p.again = p.reading; p.again {
+		return
+	}
+	p.reading = true
+	go func() {
+		cfg, err := p.reload()
+		p.reloaded <- reloaded{cfg, err}
+	}()
+}
+
 // readdress takes up the addresses of a configuration that was replaced. One
 // that can't be used, or asks for what takes a restart, changes nothing: whoever
 // wrote it is told, and the node serves on with what it has.
-func (p *parts) readdress() {
-	cfg, err := p.reload()
+func (p *parts) readdress(r reloaded) {
+	p.reading = false
+	if p.again {
+		p.reread()
+	}
+	cfg, err := r.cfg, r.err
 	if err != nil {
 		p.log.Error("new configuration not taken", "err", err)
 		return
@@ -312,8 +400,9 @@
 // returns before the process would be killed. Connections stay open for the
 // grace, since what comes within it still runs and a new connection is work;
 // then each gets `0 FIN` and new ones are refused, which proves that nothing ran.
-func (p *parts) drain(signals <-chan os.Signal) {
-	cfg, log, notice := p.cfg, p.log, time.Now()
+// Once all is quiet the connections are ended, each when it owes nothing.
+func (p *parts) drain(notice time.Time, signals notices) {
+	cfg, log := p.cfg, p.log
 	stop := cfg.stop()
 	left := max(stop-exitMargin, stop/2)
 	log.Info("notice to leave", "stop", stop, "in_hand", p.ledger.InHand())
@@ -327,8 +416,12 @@
 	refusing, quiet, read := false, notice, p.ledger.Read.Load()
 	for {
 		select {
-		case sig := <-signals:
+		case sig := <-signals.leave: // told already
+			p.told(sig)
+		case sig := <-signals.other:
 			p.told(sig)
+		case r := <-p.reloaded:
+			p.readdress(r)
 		case <-tick.C:
 		}
 		since := time.Since(notice)
@@ -345,4 +438,7 @@
 		}
 	}
 	log.Info("leaving", "after", time.Since(notice), "in_hand", p.ledger.InHand(), "flushed", p.front.Flushed())
+	if most := min(stop-time.Since(notice)-killMargin, leaveMost); !p.front.Leave(most) {
+		log.Warn("connections did not end in time", "most", most, "in_hand", p.ledger.InHand())
+	}
 }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -17,7 +17,6 @@
 	"robinmast/decide/door"
 	"robinmast/internal/exchange"
 	"robinmast/internal/stream"
-	"robinmast/rules"
 )
 
 // client is one dispatcher's connection.
@@ -30,60 +29,47 @@
 	used  time.Time // when it last carried something
 	spoke bool      // a whole message, and one of the protocol's
 	fin   time.Time // when it was told that no new request may come
+	over  time.Time // when it ended
 }
 
 // Write takes what redcon itself would send, which is nothing but replies to
 // broken framing; those connections end without one.
 func (c *client) Write(p []byte) (int, error) { return len(p), nil }
 
-// Close is called by redcon: when its reader has ended, and for every
-// connection when the listener closes. Only the first means anything here. A
-// dispatcher that closed its side in order is still sent what it is owed.
-func (c *client) Close() error {
-	c.mu.Lock()
-	end, open := c.ReadEnd(), len(c.open)
-	c.mu.Unlock()
-	switch {
-	case end == stream.StillOpen:
-		return nil
-	case end.Outcome() == rules.OK:
-		if open == 0 {
-			c.Finish(end)
-		}
-		return nil
-	}
-	if end == stream.BadFraming || end == stream.TooLong {
-		c.s.complain("broken input from a dispatcher", nil, "end", end.String(), "from", c.RemoteAddr().String())
-	}
-	c.Shut(end)
-	return nil
-}
+// Close is called by redcon: when its reader has ended, and for every connection
+// when the listener closes. It does nothing: the connection ends by itself, in
+// the one place that ends connections.
+func (c *client) Close() error { return nil }
 
-// retire ends the connection if nothing is open on it. What is read from it
-// meanwhile is not taken: the dispatcher sends again what crossed the close.
-func (c *client) retire(end stream.End) bool {
+// owes tells whether a request is open.
+func (c *client) owes() bool {
 	c.mu.Lock()
-	if len(c.open) > 0 {
-		c.mu.Unlock()
-		return false
-	}
-	c.open = nil
-	c.mu.Unlock()
-	c.Shut(end)
-	return true
+	defer c.mu.Unlock()
+	return len(c.open) > 0
 }
 
 // ended lets go of what was open when the connection ended.
 func (c *client) ended(end stream.End) {
 	c.mu.Lock()
 	open := c.open
-	c.open = nil
+	c.open, c.over = nil, time.Now()
 	c.mu.Unlock()
 	for _, x := range open {
 		if x.Abandon(exchange.WasGone) {
 			c.s.sink.Gone(x)
 		}
 	}
+	if end == stream.BadFraming || end == stream.TooLong {
+		c.s.complain("broken input from a dispatcher", nil, "end", end.String(), "from", c.RemoteAddr().String())
+		return
+	}
+	if len(open) > 0 || end == stream.Overflow || end == stream.ReadStalled || end == stream.WriteStalled {
+		c.s.complain("dispatcher's connection ended badly", nil, "end", end.String(), "open", len(open))
+	}
+}
+
+// closed gives the connection's place free.
+func (c *client) closed() {
 	c.s.mu.Lock()
 	delete(c.s.clients, c)
 	c.s.mu.Unlock()
@@ -91,9 +77,6 @@
 	case c.s.room <- struct{}{}:
 	default:
 	}
-	if len(open) > 0 || end == stream.Overflow || end == stream.ReadStalled || end == stream.WriteStalled {
-		c.s.complain("dispatcher's connection ended badly", nil, "end", end.String(), "open", len(open))
-	}
 }
 
 // command takes one message; cmd lives only during the call.
@@ -190,6 +173,7 @@
 	}
 	c.used = time.Now()
 	c.mu.Unlock()
+	c.Nudge()
 	if x == nil { // its answer and the cancel crossed, or it never was
 		c.s.Counters.Unmatched.Add(1)
 		return
@@ -262,15 +246,12 @@
 	}
 	var room [tagDigits + 2]byte
 	var more [64]byte
-	sent := c.Send(message(strconv.AppendUint(room[:0], tag, 10), word, c.s.fields(more[:0], a), a.Body))
+	c.Send(message(strconv.AppendUint(room[:0], tag, 10), word, c.s.fields(more[:0], a), a.Body))
 	c.mu.Lock()
 	delete(c.open, tag)
 	c.used = time.Now()
-	over := sent && len(c.open) == 0 && c.ReadEnd() == stream.PeerClosed
 	c.mu.Unlock()
-	if over { // it had closed its side; that was the last answer it waited for
-		c.Finish(stream.PeerClosed)
-	}
+	c.Nudge() // it may have been the last that was owed
 }
 
 // sayFin asks the dispatcher to send no new request here and to close.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,12 @@
 	firstLimit   = 2 * time.Second        // for a new connection's first whole message: its dispatcher has one to send
 	acceptPause  = 20 * time.Millisecond  // while no descriptor is free
 	complainGap  = 2 * time.Second        // between log lines about bad input
+	linger       = 500 * time.Millisecond // for a dispatcher to hear of the end and close its side
+	crossing     = 50 * time.Millisecond  // of that at least, where something was sent on it: what crosses a close is sent again
+	lingerMost   = 8                      // connections that linger while room is short; more are not ended
+	lastAccept   = time.Millisecond       // a wait for connections that the machine has accepted
+	leavePoll    = 2 * time.Millisecond   // how often it is looked whether all connections have ended
+	lastAccepts  = 2                      // such waits in vain before the listener closes
 )
 
 // Sink takes what dispatchers send. Its methods must not block.
@@ -90,8 +97,12 @@
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	room    chan struct{} // poked when a connection ends
-	leaving bool
+	leaving bool          // no new request may come
+	shut    bool          // connections end as soon as they owe nothing
 	listen  net.Listener
+	stopped chan struct{} // closed when no connection is accepted any more
+
+	unlisten atomic.Bool
 
 	began  time.Time
 	doorMu sync.Mutex
@@ -106,7 +117,8 @@
 	s := &Server{
 		cfg: cfg, lanes: newLanes(cfg.Settings, cfg.Names), sink: sink, ledger: ledger,
 		clients: map[*client]struct{}{}, room: make(chan struct{}, 1),
-		limits:  stream.Limits{In: inLimit, Out: outLimit, Stall: stream.StallLimit},
+		stopped: make(chan struct{}),
+		limits:  stream.Limits{In: inLimit, Out: outLimit, Stall: stream.StallLimit, Linger: linger},
 		finWait: finWait, partialSoft: partialLimit, partialMax: partialMost, first: firstLimit,
 	}
 	s.Traffic.HeldLimit = cfg.OutBytes
@@ -144,6 +156,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	go s.sweep(ctx)
+	defer close(s.stopped)
 	rs := redcon.NewServer(ln.Addr().String(), s.command, s.accepted, s.closed)
 	if err := rs.Serve(&listener{Listener: ln, s: s, ctx: ctx}); err != nil {
 		return fmt.Errorf("serve dispatchers: %w", err)
@@ -161,10 +174,11 @@
 
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.next()
 		switch {
 		case err == nil:
-			for l.ctx.Err() == nil && l.s.full() && !l.s.makeRoom() {
+			for l.ctx.Err() == nil && l.s.full() {
+				l.s.makeRoom()
 				select {
 				case <-l.s.room:
 				case <-l.ctx.Done():
@@ -172,13 +186,12 @@
 				}
 			}
 			l.s.pause(l.ctx, door.Connect)
-			if l.s.door != nil && l.ctx.Err() != nil { // it waited until the end: nobody would end it
-				_ = c.Close()
-				return nil, net.ErrClosed
-			}
 			began := time.Now()
 			cl := l.s.wrap(c)
 			l.s.took(door.Connect, began)
+			if l.ctx.Err() != nil { // it waited until the end
+				cl.Shut(stream.LeftByUs)
+			}
 			return cl, nil
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
@@ -197,6 +210,30 @@
 	}
 }
 
+// next accepts one connection. Once no more are wanted it takes those that the
+// machine has accepted, which may carry requests already, and only then closes
+// the listener: that would reset them.
+func (l *listener) next() (net.Conn, error) {
+	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
+	for vain := 0; ; {
+		last := ok && l.s.unlisten.Load()
+		if last {
+			_ = d.SetDeadline(time.Now().Add(lastAccept))
+		}
+		c, err := l.Listener.Accept()
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return c, err
+		}
+		if !last {
+			continue // told just now
+		}
+		if vain++; vain >= lastAccepts {
+			_ = l.Listener.Close()
+			return nil, net.ErrClosed
+		}
+	}
+}
+
 // pause waits until the door lets an event in; what is on open connections goes on.
 func (s *Server) pause(ctx context.Context, k door.Kind) {
 	if s.door == nil {
@@ -241,23 +278,30 @@
 	return s.cfg.MaxConns > 0 && len(s.clients) >= s.cfg.MaxConns
 }
 
-// makeRoom closes the connection that has carried nothing for longest, if one
-// has nothing open: first of those that never said anything whole, and one with
-// half a message only if there is no other. A connection that the machine has
-// accepted and the node has not may carry requests already, which nobody would
-// answer.
+// makeRoom ends the connection that has carried nothing for longest, if one has
+// nothing open: first of those that never said anything whole, and one with half
+// a message only if there is no other. A connection that the machine has accepted
+// and the node has not may carry requests already, which nobody would answer.
+// It reports whether one was asked to end.
 func (s *Server) makeRoom() bool {
 	var best *client
 	var bestUsed time.Time
-	bestRank := 0
+	bestRank, lingering := 0, 0
 	now := time.Now()
 	for _, c := range s.all() {
 		c.mu.Lock()
-		free, used, rank := len(c.open) == 0, c.used, 0
+		free, used, rank, over := len(c.open) == 0, c.used, 0, c.over
 		if c.spoke {
 			rank = 1
 		}
 		c.mu.Unlock()
+		if c.Ending() {
+			lingering++
+			if !over.IsZero() && now.Sub(over) >= crossing {
+				c.Hurry()
+			}
+			continue
+		}
 		part := c.Partial(now) > 0
 		if !free || c.Unsent() > 0 || part && now.Sub(used) < roomPartial {
 			continue
@@ -269,22 +313,30 @@
 			best, bestUsed, bestRank = c, used, rank
 		}
 	}
-	return best != nil && best.retire(stream.IdleClosed)
+	if best == nil || lingering >= lingerMost {
+		return false
+	}
+	if !best.Said() { // nothing was sent on it that a reset could take away
+		best.Hurry()
+	}
+	best.Retire(stream.IdleClosed)
+	return true
 }
 
 // wrap makes an accepted connection a dispatcher's.
 func (s *Server) wrap(c net.Conn) *client {
 	cl := &client{s: s, open: map[uint64]*exchange.Exchange{}, used: time.Now()}
 	cl.Conn = stream.New(c, &stream.RESP{}, s.limits, &s.Traffic, cl.ended)
+	cl.Owes, cl.Closed = cl.owes, cl.closed
 	s.mu.Lock()
 	s.clients[cl] = struct{}{}
-	leaving := s.leaving
+	leaving, shut := s.leaving, s.shut
 	s.mu.Unlock()
 	if leaving {
 		cl.sayFin()
 	}
-	if cl.Ended() != stream.StillOpen { // it ended before it was listed
-		cl.ended(cl.Ended())
+	if shut {
+		cl.Leave(stream.LeftByUs)
 	}
 	return cl
 }
@@ -311,7 +363,13 @@
 	return true
 }
 
-func (s *Server) closed(redcon.Conn, error) {}
+// closed is told when redcon reads a connection no more. By then it has ended,
+// unless redcon takes for broken what the framing let through.
+func (s *Server) closed(conn redcon.Conn, _ error) {
+	if c, ok := conn.Context().(*client); ok {
+		c.Shut(stream.BadFraming)
+	}
+}
 
 // sweep looks for connections to close, until ctx ends.
 func (s *Server) sweep(ctx context.Context) {
@@ -355,12 +413,12 @@
 		// Whoever says nothing whole after connecting is no dispatcher: those connect
 		// to send. Should one be that slow, it only has to connect again.
 		case !spoke && idle > s.first:
-			c.retire(stream.ReadStalled)
+			c.Retire(stream.ReadStalled)
 		case partial > s.partialMax, partial > s.partialSoft && open == 0:
-			c.Shut(stream.ReadStalled)
+			c.Stop(stream.ReadStalled)
 		case open > 0 || partial > 0 || c.Unsent() > 0:
 		case !fin.IsZero() && now.Sub(fin) > s.finWait && idle > s.finWait:
-			c.retire(stream.IdleClosed)
+			c.Retire(stream.IdleClosed)
 		case limit > 0 && idle > limit:
 			c.sayFin()
 		}
@@ -395,14 +453,47 @@
 	}
 }
 
-// StopListening refuses new connections from now on.
+// StopListening refuses new connections from now on. Those that the machine has
+// accepted by then are still taken.
 func (s *Server) StopListening() {
 	s.mu.Lock()
 	ln := s.listen
 	s.mu.Unlock()
-	if ln != nil {
-		_ = ln.Close()
+	if ln == nil {
+		return
+	}
+	s.unlisten.Store(true)
+	if d, ok := ln.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = d.SetDeadline(time.Unix(1, 0))
+		return
+	}
+	_ = ln.Close()
+}
+
+// Leave ends every connection as soon as all that was read from it is answered,
+// and returns when none is left, or after most: what is open then is let go. The
+// listener must have been stopped. It reports whether all ended in order.
+func (s *Server) Leave(most time.Duration) bool {
+	s.mu.Lock()
+	s.shut = true
+	s.mu.Unlock()
+	for _, c := range s.all() {
+		c.Leave(stream.LeftByUs)
+	}
+	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(leavePoll) {
+		select {
+		case <-s.stopped:
+			if s.Conns() == 0 {
+				return true
+			}
+		default:
+		}
+	}
+	for _, c := range s.all() {
+		c.Hurry()
+		c.Shut(stream.LeftByUs)
 	}
+	return false
 }
 
 // Flushed reports whether every answer given was taken by the network.
--- /dev/null
+++ b/internal/front/races_test.go
@@ -0,0 +1,324 @@
+package front
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"robinmast/internal/exchange"
+	"robinmast/internal/standin"
+	"robinmast/internal/stream"
+)
+
+// The tests of this file force the orders that docs/races.md lists: a gate holds
+// the reader, or a hook the end, at the point where the other side has to act.
+
+// unread waits until the node's machine has bytes of this peer that the node has not read.
+func unread(t *testing.T, c *client) {
+	t.Helper()
+	raw, err := c.Conn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	standin.Eventually(t, "bytes nobody has read", func() bool {
+		n, one := 0, make([]byte, 1)
+		_ = raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), one, syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+		return n > 0
+	})
+}
+
+func (b *bench) only(t *testing.T) *client {
+	t.Helper()
+	standin.Eventually(t, "one connection", func() bool { return b.Conns() == 1 })
+	return b.all()[0]
+}
+
+// rest reads all that is left: nil if the connection ended in order, as nothing was closed over.
+func rest(d *standin.Dispatcher) error {
+	_ = d.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := io.Copy(io.Discard, d.TCPConn)
+	return err
+}
+
+var served = exchange.Answer{Kind: exchange.Served, Body: []byte("r")}
+
+// A request or half of one comes between the last look at a resting connection
+// and its FIN. It is not handed on, since nobody could answer it, and the
+// connection is not reset over it.
+func TestInputInTheInstantOfTheEnd(t *testing.T) {
+	whole := standin.Words("RPC.CALL", "2", "read", fields, "x")
+	for name, late := range map[string][]byte{"a request": whole, "half a request": whole[:40], "many": []byte(strings.Repeat(string(whole), 200))} {
+		t.Run(name, func(t *testing.T) {
+			var d *standin.Dispatcher
+			var c *client
+			b := start(t, func(s *Server) {
+				s.limits.BeforeFIN = func() {
+					d.Write(late)
+					unread(t, c)
+				}
+			})
+			b.sink.answer = &served
+			d = b.dial(t)
+			c = b.only(t)
+			d.Say("RPC.CALL", "1", "read", fields, "x")
+			standin.Eventually(t, "the answer is off", func() bool { a, _ := b.sink.counts(); return a == 1 && c.Unsent() == 0 && !c.owes() })
+			c.Retire(stream.IdleClosed)
+			if got := d.Hear(); got != "1 ACK  r" {
+				t.Errorf("%q", got)
+			}
+			if got := d.Hear(); got != "EOF" {
+				t.Errorf("%q", got)
+			}
+			if err := rest(d); err != nil {
+				t.Errorf("the connection did not end in order: %v", err)
+			}
+			d.Close()
+			<-c.WhenClosed()
+			if a, _ := b.sink.counts(); a != 1 || b.Traffic.Discarded.Load() == 0 {
+				t.Errorf("%d arrived, %d bytes discarded", a, b.Traffic.Discarded.Load())
+			}
+		})
+	}
+}
+
+// A request has reached the machine before a resting connection is retired, and
+// the reader has not come to it: the connection is in use, and stays.
+func TestRetiredWithARequestUnread(t *testing.T) {
+	b := start(t, nil)
+	b.sink.gate = make(chan struct{})
+	d := b.dial(t)
+	c := b.only(t)
+	d.Say("RPC.CALL", "1", "read", fields, "x")
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	b.sink.last().Answer(served) // the reader still stands at handing it on
+	c.Retire(stream.IdleClosed)
+	d.Say("RPC.CALL", "2", "read", fields, "x")
+	unread(t, c)
+	close(b.sink.gate)
+	standin.Eventually(t, "the second", func() bool { a, _ := b.sink.counts(); return a == 2 })
+	b.sink.last().Answer(served)
+	for tag := 1; tag <= 2; tag++ {
+		if got := d.Hear(); got != fmt.Sprint(tag, " ACK  r") {
+			t.Errorf("%q", got)
+		}
+	}
+	d.Say("RPC.HEALTH", "3", "")
+	if got := d.Hear(); got != "3 GREEN  " {
+		t.Errorf("the connection is of no more use: %q", got)
+	}
+}
+
+// All connections are to end while one carries a request, one has a request that
+// nobody has read, and one half a line: what was there is answered, each
+// connection ends in order.
+func TestLeaveAnswersWhatCame(t *testing.T) {
+	var mu sync.Mutex
+	var half *standin.Dispatcher
+	b := start(t, func(s *Server) {
+		s.limits.BeforeFIN = func() {
+			mu.Lock()
+			defer mu.Unlock()
+			if half != nil {
+				half.Write([]byte("*5\r\n$8\r\nRPC.CA"))
+				half = nil
+			}
+		}
+	})
+	rests := b.dial(t)
+	b.only(t)
+	mu.Lock()
+	half = rests
+	mu.Unlock()
+	b.sink.gate = make(chan struct{})
+	d := b.dial(t)
+	d.Say("RPC.CALL", "1", "read", fields, "x")
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	d.Say("RPC.CALL", "2", "read", fields, "x")
+	for _, c := range b.all() {
+		if c.RemoteAddr().String() == d.LocalAddr().String() {
+			unread(t, c)
+		}
+	}
+	b.StopListening()
+	left := make(chan bool)
+	go func() { left <- b.Leave(5 * time.Second) }()
+	if err := rest(rests); err != nil {
+		t.Errorf("half a line: %v", err)
+	}
+	rests.Close()
+	close(b.sink.gate)
+	standin.Eventually(t, "the second", func() bool { a, _ := b.sink.counts(); return a == 2 })
+	for _, x := range b.sink.arrived {
+		x.Answer(served)
+	}
+	for range 2 {
+		if got := d.Hear(); !strings.HasSuffix(got, " ACK  r") {
+			t.Errorf("%q", got)
+		}
+	}
+	if err := rest(d); err != nil {
+		t.Errorf("%v", err)
+	}
+	d.Close()
+	if !<-left {
+		t.Error("not all ended in order")
+	}
+}
+
+// Peers that rest, and one that sends without end, hold the end up no longer than
+// its bounds in time and bytes.
+func TestEndIsBounded(t *testing.T) {
+	b := start(t, func(s *Server) { s.limits.Linger = 50 * time.Millisecond })
+	rests, floods := b.dial(t), b.dial(t)
+	rests.Say("RPC.HEALTH", "1", "")
+	rests.Hear()
+	standin.Eventually(t, "both", func() bool { return b.Conns() == 2 })
+	b.StopListening()
+	go func() {
+		for chunk := make([]byte, 16<<10); ; {
+			if _, err := floods.Write(chunk); err != nil {
+				return
+			}
+		}
+	}()
+	if !b.Leave(5 * time.Second) {
+		t.Error("did not end")
+	}
+	if n := b.Traffic.Discarded.Load(); n > 2*(256<<10)+64<<10 {
+		t.Errorf("%d bytes were read of a flood", n)
+	}
+}
+
+// What comes behind broken bytes, or with them, does not reset the connection
+// before the answers that are owed on it are read.
+func TestBrokenInputBehindARequest(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	d.Write(append(standin.Words("RPC.CALL", "1", "read", fields, "x"), strings.Repeat("FROB\r\n", 10<<10)...))
+	standin.Eventually(t, "the request before it", func() bool { return b.sink.last() != nil })
+	standin.Eventually(t, "no more are taken", func() bool { return b.all()[0].Ending() })
+	b.sink.last().Answer(served)
+	if got := d.Hear(); got != "1 ACK  r" {
+		t.Errorf("%q", got)
+	}
+	if err := rest(d); err != nil {
+		t.Errorf("ended by %v", err)
+	}
+	if a, _ := b.sink.counts(); a != 1 {
+		t.Errorf("%d arrived", a)
+	}
+}
+
+// Connections that the machine has accepted and the node has not may carry
+// requests when it stops listening: all are answered.
+func TestStopListeningTakesWhatIsAccepted(t *testing.T) {
+	b := start(t, func(s *Server) { s.cfg.MaxConns = 1 })
+	busy := b.dial(t)
+	busy.Say("RPC.CALL", "1", "read", fields, "x")
+	standin.Eventually(t, "arrival", func() bool { return b.sink.last() != nil })
+	var more []*standin.Dispatcher
+	for range 3 { // the first of them waits for room, behind it nothing is accepted
+		d := b.dial(t)
+		d.Say("RPC.CALL", "1", "read", fields, "x")
+		more = append(more, d)
+	}
+	b.StopListening()
+	b.Fin()
+	left := make(chan bool)
+	go func() { left <- b.Leave(5 * time.Second) }()
+	b.sink.mu.Lock()
+	b.sink.answer = &served
+	b.sink.mu.Unlock()
+	b.sink.last().Answer(served)
+	for i, d := range append(more, busy) {
+		for {
+			got := d.Hear()
+			if got == "0 FIN" {
+				continue
+			}
+			if got != "1 ACK  r" {
+				t.Errorf("connection %d: %q", i, got)
+			}
+			break
+		}
+		if err := rest(d); err != nil {
+			t.Errorf("connection %d ended by %v", i, err)
+		}
+		d.Close()
+	}
+	if !<-left {
+		t.Error("not all ended in order")
+	}
+	if c, err := net.Dial("tcp", b.addr); err == nil {
+		c.Close()
+		t.Error("still listening")
+	}
+}
+
+// A dispatcher of one byte at a time, in both directions, is served like any other.
+func TestByteByByte(t *testing.T) {
+	b := start(t, nil)
+	b.sink.answer = &exchange.Answer{Kind: exchange.Served, Body: []byte(strings.Repeat("r", 4096))}
+	d := b.dial(t)
+	for _, c := range standin.Words("RPC.CALL", "1", "read", fields, "x") {
+		d.Write([]byte{c})
+	}
+	var got []byte
+	for one := make([]byte, 1); !strings.HasSuffix(string(got), "rr\r\n"); {
+		_ = d.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := d.Read(one); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, one[0])
+	}
+	if !strings.Contains(string(got), "ACK") {
+		t.Errorf("%q", got)
+	}
+}
+
+// Small answers are not held back by the system, from the first byte on.
+func TestNoDelay(t *testing.T) {
+	b := start(t, nil)
+	b.dial(t)
+	raw, err := b.only(t).Conn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	on := 0
+	err = errors.Join(raw.Control(func(fd uintptr) {
+		on, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_NODELAY)
+	}), err)
+	if err != nil || on == 0 {
+		t.Errorf("TCP_NODELAY is %d, %v", on, err)
+	}
+}
+
+// A connection that was stopped with half a message on it takes no request any
+// more, not even the rest of that one, and is answered what was open.
+func TestStoppedTakesNoMore(t *testing.T) {
+	b := start(t, nil)
+	d := b.dial(t)
+	c := b.only(t)
+	whole := standin.Words("RPC.CALL", "2", "read", fields, "x")
+	d.Write(append(standin.Words("RPC.CALL", "1", "read", fields, "x"), whole[:30]...))
+	standin.Eventually(t, "half of the second", func() bool { a, _ := b.sink.counts(); return a == 1 && c.Partial(time.Now()) > 0 })
+	c.Stop(stream.ReadStalled)
+	d.Write(append(append([]byte{}, whole[30:]...), standin.Words("RPC.CALL", "3", "read", fields, "x")...))
+	standin.Eventually(t, "the rest is discarded", func() bool { return b.Traffic.Discarded.Load() > int64(len(whole)) })
+	b.sink.last().Answer(served)
+	if got := d.Hear(); got != "1 ACK  r" {
+		t.Errorf("%q", got)
+	}
+	if err := rest(d); err != nil {
+		t.Errorf("ended by %v", err)
+	}
+	if a, _ := b.sink.counts(); a != 1 {
+		t.Errorf("%d arrived", a)
+	}
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -38,6 +38,8 @@
 	controlWindow = 10 * time.Second
 	controlBudget = 16
 
+	lingerTime = 100 * time.Millisecond // for the service to close its side
+
 	ringLimit = 8 << 10 // a report, and what is read of an answer at a time
 )
 
@@ -142,7 +144,7 @@
 		r.Traffic.NeverOpened(err)
 		return nil, err
 	}
-	return stream.New(raw, stream.Bytes{}, stream.Limits{In: ringLimit, Out: ringLimit, Stall: timeout}, &r.Traffic, nil), nil
+	return stream.New(raw, stream.Bytes{}, stream.Limits{In: ringLimit, Out: ringLimit, Stall: timeout, Linger: lingerTime}, &r.Traffic, nil), nil
 }
 
 // Poke has a report sent at once.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -37,6 +37,7 @@
 	boundLimit  = 15 * time.Second       // the same while the worker pool is awaited
 	complainGap = 2 * time.Second        // between log lines about bad input
 	downGap     = 5 * time.Second        // between log lines while the worker pool is away
+	lingerTime  = 100 * time.Millisecond // for the worker pool to close its side of a link that was let go
 	lostTail    = 100 * time.Millisecond // commands sent so shortly before a break may not have been read
 )
 
@@ -287,7 +288,7 @@
 		return l.Traffic.NeverOpened(err), err
 	}
 	c := stream.New(raw, &stream.Lines{Longest: longestLine},
-		stream.Limits{In: inLimit, Out: outLimit, Stall: l.await}, &l.Traffic, nil)
+		stream.Limits{In: inLimit, Out: outLimit, Stall: l.await, Linger: lingerTime}, &l.Traffic, nil)
 	stop := context.AfterFunc(ctx, func() { c.Shut(stream.LeftByUs) })
 	defer stop()
 	linked, unlink := context.WithCancel(ctx)
@@ -309,6 +310,9 @@
 	l.mu.Unlock()
 	c.Shut(stream.EndOf(err, stream.ReadFailed))
 	<-c.Done()
+	if ctx.Err() != nil {
+		<-c.WhenClosed() // the process ends: nobody else would read on
+	}
 	return c.Ended(), err
 }
 
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -1,7 +1,8 @@
 // Package stream owns what every connection of the node has in common: one ring
 // buffer a direction, framing that hands on whole messages only, a writer that
-// nobody waits for, and End, the one type of all ways a connection can end. It
-// must never know what a message means, and never block whoever sends.
+// nobody waits for, and the end: End is the one type of all ways to end, and
+// end.go and close.go the one place that ends a connection. It must never know
+// what a message means, and never block whoever sends.
 package stream
 
 import (
@@ -24,6 +25,12 @@
 	In    int           // bytes of the in ring, more than any message
 	Out   int           // bytes of the out ring
 	Stall time.Duration // how long the peer may take nothing
+
+	// Linger is how long an ended connection is still read, what comes being
+	// discarded, until the peer has ended its side too. 0 = it is closed at once.
+	Linger time.Duration
+
+	BeforeFIN func() // called between the last look for input and FIN: tests hold it there
 }
 
 // Traffic counts connections, bytes and messages; any goroutine may read it.
@@ -36,6 +43,7 @@
 	Dropped   atomic.Int64 // of those, ended with their connection
 	Held      atomic.Int64 // bytes of memory in out rings
 	HeldLimit int64        // bound of Held, 0 = none
+	Discarded atomic.Int64 // bytes that were read after the end and thrown away
 	Ended     [numEnds]atomic.Int64
 }
 
@@ -59,20 +67,34 @@
 	frame   Framer
 	in      *Ring         // owned by the reader
 	ready   int           // bytes at its front that are whole messages
+	broken  End           // what comes after them is no message
+	eof     bool          // the peer has ended its side
+	wasted  int           // bytes read and discarded
 	readEnd atomic.Uint32 // how reading ended, for Close
 	partial atomic.Int64
 
-	mu      sync.Mutex
-	out     *Ring
-	queued  uint64   // bytes ever queued
-	sent    uint64   // bytes ever sent
-	marks   []uint64 // where queued messages end, oldest first
-	held    int64    // its part of traffic.Held
-	closing End      // not StillOpen: end so once all is sent
-	end     End
-	wake    chan struct{}
-	done    chan struct{} // closed when the writer has ended
-	onEnd   func(End)
+	// Owes tells whether answers to what was read are still to come. It makes this
+	// a connection whose end can be planned: Retire, Leave and Stop are for its
+	// like only. Set before the first Read; it may lock, but not send.
+	Owes func() bool
+	// Closed, if set, is called once the descriptor is free.
+	Closed  func()
+	plan    atomic.Uint32 // a plan
+	turn    chan struct{} // poked when a plan, or what it waits for, has changed
+	hurried atomic.Bool
+
+	mu     sync.Mutex
+	out    *Ring
+	queued uint64   // bytes ever queued
+	sent   uint64   // bytes ever sent
+	marks  []uint64 // where queued messages end, oldest first
+	held   int64    // its part of traffic.Held
+	why    End      // what the plan ends it by
+	end    End
+	wake   chan struct{}
+	done   chan struct{} // closed when the writer has ended
+	closed chan struct{} // closed when the descriptor is free
+	onEnd  func(End)
 }
 
 // New wraps a connection and starts its writer. onEnd is called once, when the
@@ -81,7 +103,8 @@
 	t.Opened.Add(1)
 	s := &Conn{
 		Conn: c, traffic: t, limits: l, frame: frame, in: NewRing(l.In), out: NewRing(l.Out),
-		wake: make(chan struct{}, 1), done: make(chan struct{}), onEnd: onEnd,
+		wake: make(chan struct{}, 1), turn: make(chan struct{}, 1),
+		done: make(chan struct{}), closed: make(chan struct{}), onEnd: onEnd,
 	}
 	go s.write()
 	return s
@@ -102,30 +125,24 @@
 
 func (c *Conn) read(p []byte) (int, error) {
 	for c.ready == 0 {
+		if c.broken != StillOpen {
+			if c.Owes == nil {
+				return 0, &Error{End: c.broken}
+			}
+			c.in.Discard(c.in.Len())
+			c.partial.Store(0)
+			c.Stop(c.broken)
+		}
 		space := c.in.Space()
 		if len(space) == 0 {
-			return 0, &Error{End: TooLong}
+			c.broken = TooLong
+			continue
 		}
-		n, err := c.Conn.Read(space)
+		n, err := c.receive(space)
 		if n > 0 {
-			c.traffic.BytesIn.Add(int64(n))
-			before := c.in.Len()
-			whole, end := c.frame.Scan(space[:n])
-			if end != StillOpen {
-				return 0, &Error{End: end}
-			}
-			c.in.Commit(n)
-			if whole > 0 {
-				c.ready = before + whole
-			}
-			if c.in.Len() > c.ready {
-				c.partial.CompareAndSwap(0, since(time.Now()))
-			}
-			if whole > 0 && c.in.Len() == c.ready {
-				c.partial.Store(0)
-			}
+			c.broken = c.scan(space[:n])
 		}
-		if err != nil && c.ready == 0 {
+		if err != nil && c.ready == 0 && c.broken == StillOpen {
 			return 0, err
 		}
 	}
@@ -135,6 +152,27 @@
 	return n, nil
 }
 
+// scan queues what was read up to the first broken byte.
+func (c *Conn) scan(p []byte) End {
+	c.traffic.BytesIn.Add(int64(len(p)))
+	before := c.in.Len()
+	whole, end := c.frame.Scan(p)
+	if end != StillOpen {
+		p = p[:whole] // the messages before it were read, and are answered
+	}
+	c.in.Commit(len(p))
+	if whole > 0 {
+		c.ready = before + whole
+	}
+	if c.in.Len() > c.ready {
+		c.partial.CompareAndSwap(0, since(time.Now()))
+	}
+	if whole > 0 && c.in.Len() == c.ready {
+		c.partial.Store(0)
+	}
+	return end
+}
+
 // begin is what the monotonic clock counts from here; the Unix clock may jump.
 var begin = time.Now()
 
@@ -162,7 +200,7 @@
 func (c *Conn) Send(msg []byte) bool {
 	c.traffic.Queued.Add(1)
 	c.mu.Lock()
-	if c.end != StillOpen || c.closing != StillOpen {
+	if c.end != StillOpen {
 		c.mu.Unlock()
 		c.traffic.Dropped.Add(1)
 		return false
@@ -215,42 +253,6 @@
 	return c.end
 }
 
-// Finish ends the connection once all that is queued was sent.
-func (c *Conn) Finish(end End) {
-	c.mu.Lock()
-	if c.closing == StillOpen {
-		c.closing = end
-	}
-	empty := c.out.Len() == 0
-	c.mu.Unlock()
-	if empty {
-		c.Shut(end)
-		return
-	}
-	c.poke()
-}
-
-// Shut ends the connection now. The first End counts; later ones do nothing.
-func (c *Conn) Shut(end End) {
-	c.mu.Lock()
-	if c.end != StillOpen {
-		c.mu.Unlock()
-		return
-	}
-	c.end = end
-	c.traffic.Dropped.Add(int64(len(c.marks)))
-	c.marks = nil
-	c.traffic.Held.Add(-c.held)
-	c.held = 0
-	c.mu.Unlock()
-	c.traffic.Ended[end].Add(1)
-	_ = c.Conn.Close() // nothing more can be done for it
-	c.poke()
-	if c.onEnd != nil {
-		c.onEnd(end)
-	}
-}
-
 // Write is Send for those who know connections as an io.Writer.
 func (c *Conn) Write(p []byte) (int, error) {
 	if !c.Send(p) {
@@ -259,16 +261,6 @@
 	return len(p), nil
 }
 
-// Close ends the connection: in the way that reading ended, else from this side.
-func (c *Conn) Close() error {
-	end := c.ReadEnd()
-	if end == StillOpen {
-		end = LeftByUs
-	}
-	c.Shut(end)
-	return nil
-}
-
 // Done is closed once the writer has ended.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
@@ -285,12 +277,7 @@
 		}
 		chunk := c.out.Front()
 		if len(chunk) == 0 {
-			finish := c.closing
 			c.mu.Unlock()
-			if finish != StillOpen {
-				c.Shut(finish)
-				return
-			}
 			<-c.wake
 			continue
 		}
@@ -348,5 +335,6 @@
 	c.traffic.Sent.Add(int64(whole))
 	if c.marks = c.marks[whole:]; len(c.marks) == 0 {
 		c.marks = nil
+		c.nudge()
 	}
 }
--- a/internal/stream/end.go
+++ b/internal/stream/end.go
@@ -1,6 +1,6 @@
 // This file owns End: the ways in which a connection can end, how errors map to
 // them, and the one place where they map to the module's outcomes. It must never
-// end a connection itself.
+// end a connection itself: close.go does.
 
 package stream
 
@@ -76,6 +76,15 @@
 	return rules.Reset
 }
 
+// lingers tells whether the peer may still be sending, and hear what was sent to it.
+func (e End) lingers() bool {
+	switch e {
+	case PeerClosed, PeerReset, ReadFailed, WriteFailed, DialRefused, DialFailed:
+		return false
+	}
+	return true
+}
+
 // Error is an End as an error, with its cause.
 type Error struct {
 	End   End
--- a/internal/stream/frame.go
+++ b/internal/stream/frame.go
@@ -10,7 +10,7 @@
 type Framer interface {
 	// Scan takes the next bytes. It returns how many of them, from the first,
 	// belong to messages that are now whole (0 if none became whole), and the
-	// End that broken bytes deserve, else StillOpen.
+	// End that broken bytes after those deserve, else StillOpen.
 	Scan(p []byte) (whole int, end End)
 }
 
@@ -35,14 +35,14 @@
 			break
 		}
 		if l.open+i > l.Longest {
-			return 0, TooLong
+			return whole, TooLong
 		}
 		whole += i + 1
 		l.open = 0
 	}
 	l.open += len(p) - whole
 	if l.open > l.Longest {
-		return 0, TooLong
+		return whole, TooLong
 	}
 	return whole, StillOpen
 }
@@ -85,7 +85,7 @@
 	for i := 0; i < len(p); i++ {
 		c := p[i]
 		if f.size++; f.size > respMessage {
-			return 0, TooLong
+			return whole, TooLong
 		}
 		switch f.state {
 		case respStart, respDollar:
@@ -94,7 +94,7 @@
 				want = '$'
 			}
 			if c != want {
-				return 0, BadFraming
+				return whole, BadFraming
 			}
 			if f.state == respStart {
 				f.parts = -1
@@ -108,26 +108,26 @@
 			case c == '\r' && f.digits > 0:
 				f.state = respLineFeed
 			case c >= '0' && c <= '9':
-				return 0, TooLong
+				return whole, TooLong
 			default:
-				return 0, BadFraming
+				return whole, BadFraming
 			}
 		case respLineFeed:
 			if c != '\n' {
-				return 0, BadFraming
+				return whole, BadFraming
 			}
 			if f.parts < 0 { // that was the array's header
 				if f.number == 0 {
-					return 0, BadFraming
+					return whole, BadFraming
 				}
 				if f.number > respParts {
-					return 0, TooLong
+					return whole, TooLong
 				}
 				f.parts, f.state = f.number, respDollar
 				continue
 			}
 			if f.number > respPart {
-				return 0, TooLong
+				return whole, TooLong
 			}
 			f.skip, f.state = f.number, respBulk
 			if f.skip == 0 {
@@ -139,19 +139,19 @@
 			f.size += n - 1
 			i += n - 1
 			if f.size > respMessage {
-				return 0, TooLong
+				return whole, TooLong
 			}
 			if f.skip == 0 {
 				f.state = respBulkCR
 			}
 		case respBulkCR:
 			if c != '\r' {
-				return 0, BadFraming
+				return whole, BadFraming
 			}
 			f.state = respBulkLF
 		case respBulkLF:
 			if c != '\n' {
-				return 0, BadFraming
+				return whole, BadFraming
 			}
 			if f.parts--; f.parts > 0 {
 				f.state = respDollar
