A reader lets go once its connection has ended over broken bytes

Ruled out: lingering and discarding (bounded, few descriptors), the accept loop. Cause, internal/stream/conn.go, read: after broken bytes it went on asking for more while c.broken was set, and the error that tells of the end was returned only where it was not set, so it asked for ever.

Change: an error ends the read; bytes that came with none are scanned first. Test: TestReaderOfBrokenBytesIsLetGo, red for both ends without it.

--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -139,10 +139,10 @@
 			continue
 		}
 		n, err := c.receive(space)
-		if n > 0 {
+		switch {
+		case n > 0:
 			c.broken = c.scan(space[:n])
-		}
-		if err != nil && c.ready == 0 && c.broken == StillOpen {
+		case err != nil:
 			return 0, err
 		}
 	}
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -250,3 +250,33 @@
 		}
 	}
 }
+
+// The reader of a connection that ended over broken bytes is let go. It guards
+// against one that asks again and again for what comes no more, and so takes a
+// whole core for ever.
+func TestReaderOfBrokenBytesIsLetGo(t *testing.T) {
+	for name, bytes := range map[string][]byte{"no message": []byte("FROB\r\n"), "without an end": make([]byte, 32<<10)} {
+		t.Run(name, func(t *testing.T) {
+			c, peer := pair(t, usual, &Traffic{}, nil)
+			c.frame = &RESP{}
+			if name == "without an end" {
+				c.frame = &Lines{Longest: 4 << 10}
+			}
+			c.Owes = func() bool { return false }
+			read := make(chan error, 1)
+			go func() {
+				n, err := c.Read(make([]byte, 64))
+				read <- fmt.Errorf("%d bytes: %w", n, err)
+			}()
+			peer.Write(bytes)
+			select {
+			case err := <-read:
+				if e := EndOf(err, StillOpen); e != BadFraming && e != TooLong {
+					t.Error(err)
+				}
+			case <-time.After(8 * time.Second):
+				t.Error("the reader does not end")
+			}
+		})
+	}
+}
