Only one reads a connection that has ended: no notice falls into a hole

Found by reading: where a link is moved or let go, hangUp read on and discarded while the link's reader still read and handed on, each some of the notices. What the second got had a hole, which passes for lost notices: safe runs are asked for again, keyed and unsafe ones fail. The reader also stayed until the lingering was over, 0.1 s without a link.

Change: Shut has the reader let go at once; from then on only hangUp reads, and discards. Test: TestNothingIsHandedOnAfterTheEnd, red without it: 'read "two\n"'.

--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -108,7 +108,7 @@
 // FIN nobody else reads, so that nothing can slip through between the two.
 func (c *Conn) receive(space []byte) (int, error) {
 	if c.Owes == nil {
-		return c.Conn.Read(space)
+		return c.plainly(space)
 	}
 	for {
 		if end := c.Ended(); end != StillOpen {
@@ -156,6 +156,22 @@
 	}
 }
 
+// plainly reads where no end is planned. Once the connection has ended only hangUp
+// reads: if both did, what is handed on would have holes.
+func (c *Conn) plainly(space []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if end := c.Ended(); end != StillOpen {
+		return 0, &Error{End: end}
+	}
+	n, err := c.Conn.Read(space)
+	if end := c.Ended(); end != StillOpen {
+		c.traffic.Discarded.Add(int64(n))
+		return 0, &Error{End: end}
+	}
+	return n, err
+}
+
 // keep gives a retirement up.
 func (c *Conn) keep() {
 	c.mu.Lock()
@@ -258,6 +274,12 @@
 // side or the bound is reached, close.
 func (c *Conn) hangUp(end End) {
 	defer close(c.closed)
+	if c.Owes == nil { // the reader first lets go: it may wait for what never comes
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		c.reading.Lock()
+		//lint:ignore SA2001 it is only waited for: the next one to hold it sees the end
+		c.reading.Unlock()
+	}
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok && end.lingers() && c.limits.Linger > 0 && w.CloseWrite() == nil {
 		c.discard()
 	}
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -82,6 +82,7 @@
 	plan    atomic.Uint32 // a plan
 	turn    chan struct{} // poked when a plan, or what it waits for, has changed
 	hurried atomic.Bool
+	reading sync.Mutex // held by whoever reads, where Owes is nil
 
 	mu     sync.Mutex
 	out    *Ring
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -251,6 +251,50 @@
 	}
 }
 
+// What the peer sends after a connection was ended is discarded, and the reader is
+// let go at once. It guards against two readers that share the rest between them:
+// what the first then hands on has a hole where the other read.
+func TestNothingIsHandedOnAfterTheEnd(t *testing.T) {
+	var tr Traffic
+	limits := usual
+	limits.Linger = time.Minute // by its end the test has failed
+	c, peer := pair(t, limits, &tr, nil)
+	type read struct {
+		text string
+		err  error
+	}
+	reads := make(chan read)
+	next := func() {
+		buf := make([]byte, 64)
+		n, err := c.Read(buf)
+		reads <- read{string(buf[:n]), err}
+	}
+	go next()
+	peer.Write([]byte("one\n"))
+	if r := <-reads; r.text != "one\n" {
+		t.Fatalf("%q, %v", r.text, r.err)
+	}
+	go next() // waits for more, or is about to
+	c.Shut(LeftByUs)
+	if n, err := peer.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("no FIN: %d bytes, %v", n, err)
+	}
+	peer.Write([]byte("two\n"))
+	select {
+	case r := <-reads:
+		if EndOf(r.err, StillOpen) != LeftByUs || r.text != "" {
+			t.Errorf("read %q, %v", r.text, r.err)
+		}
+	case <-time.After(8 * time.Second):
+		t.Error("the reader still waits")
+	}
+	for end := time.Now().Add(8 * time.Second); tr.Discarded.Load() != 4; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes discarded", tr.Discarded.Load())
+		}
+	}
+}
+
 // The reader of a connection that ended over broken bytes is let go. It guards
 // against one that asks again and again for what comes no more, and so takes a
 // whole core for ever.
