Whoever uses the key of another's request fails instead of getting its result

Ruled out: runs of the strangers (the worker pool knows none of their ids and refuses).

Cause: internal/node/keys.go, earlier: a request's key alone made it a repeat. And one that came before the key's own request kept the key although it never ran: that one failed.

Change: an entry knows its request by the body too; another body under its key fails at once, does not run, and the module does not hear of it. An entry of which nothing was started is no earlier request. Tests: TestKeyOfAnother (held, running, over, stranger first), TestServeKeyOfAnother on real connections; all red without it.

--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -51,6 +51,7 @@
 			"cpu", cpu, "max_rss_kb", use.Maxrss, "heap_kb", m.HeapAlloc>>10, "from_os_kb", m.Sys>>10,
 			"gc", m.NumGC, "goroutines", runtime.NumGoroutine(), "descriptors", descriptors(),
 			"module_resets", p.node.Resets.Load()),
+		slog.Group("keys", "misused", p.node.Misused.Load()),
 	}
 	if p.memory != nil {
 		c, s := &p.memory.Counters, &p.memory.Store().Stats
--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -465,3 +465,31 @@
 	}()
 	s.stop()
 }
+
+// On one connection a request under a key runs; on another somebody uses its key and
+// its other fields for a request of his own. He is not served the result, whether the
+// run is on its way or over, and the key's own request and its repeat are.
+func TestServeKeyOfAnother(t *testing.T) {
+	s := newSystem(t)
+	own, other := s.dial(), s.dial()
+	own.call(1, 150, ",unique=k")
+	standin.Eventually(t, "the run", func() bool { s.workers.mu.Lock(); defer s.workers.mu.Unlock(); return len(s.workers.runs) == 1 })
+	other.call(1, 151, ",unique=k")
+	if got := other.Hear(); !strings.HasPrefix(got, "1 FAIL") {
+		t.Errorf("while it runs: %q", got)
+	}
+	if got := own.Hear(); !strings.HasPrefix(got, "1 ACK") || !strings.HasSuffix(got, "did 150") {
+		t.Errorf("%q", got)
+	}
+	other.call(2, 151, ",unique=k")
+	if got := other.Hear(); !strings.HasPrefix(got, "2 FAIL") {
+		t.Errorf("after it: %q", got)
+	}
+	other.call(3, 150, ",unique=k,second=1")
+	if got := other.Hear(); !strings.HasPrefix(got, "3 ACK") || !strings.HasSuffix(got, "did 150") {
+		t.Errorf("a repeat: %q", got)
+	}
+	if c := s.stop(); c["keys"].(map[string]any)["misused"].(float64) != 2 || c["pool"].(map[string]any)["spawned"].(float64) != 1 {
+		t.Errorf("%v, %v", c["keys"], c["pool"])
+	}
+}
--- a/internal/node/keys.go
+++ b/internal/node/keys.go
@@ -22,10 +22,12 @@
 // kept is one entry. The newest try that the module kept holds it.
 type kept struct {
 	key     string
+	print   uint64 // of the body of the request that made it, 0 = not known
 	holder  rules.RequestID
 	expires time.Duration
 	over    bool // the run it stands for has ended
 	good    bool // with a result
+	moot    bool // nothing was started: no try of it has run
 	stored  bool // the result can be read from the memory, under ref
 	barred  bool // of an earlier life: a repeat must not run, though it is safe
 	ref     string
@@ -70,14 +72,19 @@
 	return ""
 }
 
+// fingerprint tells the bodies of requests under one key apart, never 0.
+func fingerprint(body []byte) uint64 { return maphash.Bytes(hashSeed, body) | 1 }
+
 // earlier is the kept request that x repeats, 0 for none. An entry counts for
-// whatever reached the machine while it lived, however late it is read.
-func (t *table) earlier(x *exchange.Exchange, q rules.Request, now time.Duration, set rules.Settings) rules.RequestID {
+// whatever reached the machine while it lived, however late it is read. A keyed
+// request of another body repeats nothing, it only uses its key: whoever sent it must
+// not be told the other's result, and to run it would be a second run of the key.
+func (t *table) earlier(x *exchange.Exchange, q rules.Request, now time.Duration, set rules.Settings) (id rules.RequestID, other bool) {
 	e := t.byKey[keyOf(x, set)]
-	if e == nil || now-q.Age > e.expires || x.Safe && e.over && !e.good && !e.barred {
-		return 0
+	if e == nil || e.moot || now-q.Age > e.expires || x.Safe && e.over && !e.good && !e.barred {
+		return 0, false
 	}
-	return e.holder
+	return e.holder, !x.Safe && e.print != 0 && e.print != fingerprint(x.Body)
 }
 
 // keep makes or renews the entry of a request.
@@ -87,7 +94,7 @@
 		return
 	}
 	t.drop(t.byKey[key])
-	it.kept = &kept{key: key, holder: it.id, expires: expires}
+	it.kept = &kept{key: key, print: fingerprint(it.x.Body), holder: it.id, expires: expires}
 	t.byKey[key] = it.kept
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,8 @@
 
 // Node is one node's loop. Its exported methods may be called by any goroutine.
 type Node struct {
-	Resets atomic.Int64 // times that the module failed and was made anew
+	Resets  atomic.Int64 // times that the module failed and was made anew
+	Misused atomic.Int64 // requests under a key that stood for another one
 
 	cfg   Config
 	front Front
@@ -556,9 +557,18 @@
 	n.items[it.id], n.byX[x] = it, it
 	n.byTxn[x.Txn] = struct{}{}
 	q := request(x, it.id, n.unix())
-	q.Earlier = n.table.earlier(x, q, n.now, n.cfg.Settings)
-	if q.Earlier == it.id {
-		q.Earlier = 0
+	earlier, other := n.table.earlier(x, q, n.now, n.cfg.Settings)
+	switch {
+	case earlier == it.id:
+	case other:
+		if c := n.Misused.Add(1); c&(c-1) == 0 { // the 1st, 2nd, 4th, 8th ...
+			n.cfg.Log.Warn("a key that stands for another request", "class", x.ClassName, "caller", x.Caller, "so_far", c)
+		}
+		x.Answer(exchange.Answer{Kind: exchange.Failed})
+		n.forget(it)
+		return
+	default:
+		q.Earlier = earlier
 	}
 	if n.cfg.Comeback != nil && n.doubted(it, &q) {
 		return
@@ -617,6 +627,9 @@
 		o := rules.Failed
 		if e.end == pool.Moot {
 			o = rules.Moot
+			if it.kept != nil && !reused {
+				it.kept.moot = true
+			}
 		}
 		n.module.Ended(n.now, it.id, o, e.took)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -616,3 +616,49 @@
 		}
 	}
 }
+
+// A stranger uses the key of somebody else's request for one of its own: it is told
+// nothing of the other's result, at no point of the other's life, its request does
+// not run, and the other is served as if it had not come.
+func TestKeyOfAnother(t *testing.T) {
+	body := func(k, b string) func(*exchange.Call) {
+		return func(c *exchange.Call) { c.Unique, c.Body = k, []byte(b) }
+	}
+	stranger := func(r *rig) { r.t.Helper(); r.only(r.send(1, body("k", "theirs")), exchange.Failed, "") }
+	t.Run("held", func(t *testing.T) {
+		r := newRig(t, usual(), false) // before the worker pool is bound nothing is run
+		x := r.send(1, body("k", "mine"))
+		stranger(r)
+		r.Bound(false, time.Hour)
+		r.turn()
+		stranger(r)
+		r.end(x, pool.Complete, "result")
+		r.only(x, exchange.Served, "result")
+		r.empty()
+	})
+	t.Run("running and over", func(t *testing.T) {
+		r := newRig(t, usual(), true)
+		x := r.send(1, body("k", "mine"))
+		stranger(r)
+		same := r.send(1, body("k", "mine"))
+		r.end(x, pool.Complete, "result")
+		stranger(r)
+		r.only(x, exchange.Served, "result")
+		r.only(same, exchange.Served, "result")
+		r.only(r.send(1, body("k", "mine")), exchange.Served, "result")
+		if len(r.spawned) != 1 || r.Misused.Load() != 2 {
+			t.Errorf("%d runs, %d told of", len(r.spawned), r.Misused.Load())
+		}
+		r.empty()
+	})
+	t.Run("the stranger first", func(t *testing.T) {
+		r := newRig(t, usual(), true)
+		x := r.send(1, body("k", "theirs"))
+		r.end(x, pool.Moot, "") // the worker pool knows no such request
+		r.only(x, exchange.Failed, "")
+		x = r.send(1, body("k", "mine"))
+		r.end(x, pool.Complete, "result")
+		r.only(x, exchange.Served, "result")
+		r.empty()
+	})
+}
