Runs that call a database below are served: the node starts there and makes the calls

Its configuration tells a `db` address. Ruled out: that the pool makes the calls by itself, that `proceed` lets a run go on; `supply` with the database's rows does.

Cause: cmd/robinmast/config.go, check, refused such settings; internal/node/host.go had no call.

Change: internal/dependency makes one HTTP request a call, with a bound on connections (a part of the descriptors), time and bytes; the pool link knows `blocked`, `supply`, `pass` and says again what a break may have lost; the loop hands both to the module. SIGHUP moves the address. Calls to another tier and pausing are refused as before, in one line that names the file, and the line where its JSON is broken.

Tests: outcomes of calls, answers and notices cut at every byte, words repeated after a break, calls given up; TestServeCallsBelow on real connections.

--- a/cmd/robinmast/config.go
+++ b/cmd/robinmast/config.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,6 +24,7 @@
 	Listen  string  `json:"listen"`
 	Pool    string  `json:"pool"`
 	Members string  `json:"members"`
+	DB      string  `json:"db"` // what lies below, "" = nothing does
 	Seed    string  `json:"seed"`
 	StopMs  float64 `json:"stop_ms"`
 	Limits  struct {
@@ -64,13 +66,34 @@
 	if err != nil {
 		return nil, fmt.Errorf("read configuration: %w", err)
 	}
-	return parse(text, env)
+	c, err := parse(text, env)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// place says where in the text a fault of its JSON lies, "" if that is not told.
+func place(text []byte, err error) string {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	at := int64(-1)
+	switch {
+	case errors.As(err, &syntax):
+		at = syntax.Offset
+	case errors.As(err, &kind):
+		at = kind.Offset
+	}
+	if at < 0 || at > int64(len(text)) {
+		return ""
+	}
+	return fmt.Sprintf("line %d: ", 1+bytes.Count(text[:at], []byte("\n")))
 }
 
 func parse(text []byte, env func(string) string) (*platform, error) {
 	c := &platform{own: config.Defaults()}
 	if err := json.Unmarshal(text, c); err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+		return nil, fmt.Errorf("configuration: %s%w", place(text, err), err)
 	}
 	if c.Name == "" {
 		c.Name = env("EDGE_NAME")
@@ -86,6 +109,11 @@
 			return nil, fmt.Errorf("configuration: %s address %q: %w", key, addr, err)
 		}
 	}
+	if c.DB != "" {
+		if err := checkAddress(c.DB); err != nil {
+			return nil, fmt.Errorf("configuration: db address %q: %w", c.DB, err)
+		}
+	}
 	if c.Seed != "" {
 		seed, err := strconv.ParseUint(c.Seed, 16, 64)
 		if err != nil {
@@ -112,8 +140,10 @@
 // check refuses settings that this program can't serve.
 func (c *platform) check() error {
 	switch {
-	case c.set.Below != rules.BelowNone:
-		return errors.New("configuration: settings: extra.below: calls below have no protocol here")
+	case c.set.Below == rules.BelowTier:
+		return errors.New("configuration: settings: extra.below: calls to another tier have no protocol here")
+	case c.set.Below == rules.BelowShared && c.DB == "":
+		return errors.New("configuration: settings: extra.below: calls below, and no db address to make them to")
 	case c.set.Preemption == rules.PreemptPause:
 		return errors.New("configuration: settings: extra.preemption: pausing has no protocol here")
 	case c.set.Tick <= 0 || c.set.Tick > time.Second:
--- a/cmd/robinmast/config_test.go
+++ b/cmd/robinmast/config_test.go
@@ -46,6 +46,7 @@
 		"no cores":        {`"cpus":2`, `"cpus":0`},
 		"no tick":         {`"tickMs":2`, `"tickMs":0`},
 		"calls below":     {`"below":"none"`, `"below":"shared"`},
+		"db by name":      {`"stop_ms"`, `"db":"rows.local:7700","stop_ms"`},
 		"another tier":    {`"below":"none"`, `"below":"tier"`},
 		"pausing":         {`"preemption":"drop"`, `"preemption":"pause"`},
 		"unknown word":    {`"say":"weight"`, `"say":"shout"`},
--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -13,6 +13,7 @@
 	"robinmast/internal/exchange"
 	"robinmast/internal/pool"
 	"robinmast/internal/stream"
+	"robinmast/rules"
 )
 
 // count logs every counter on one line. Requests read are the sum of served,
@@ -53,6 +54,12 @@
 			"module_resets", p.node.Resets.Load()),
 		slog.Group("keys", "misused", p.node.Misused.Load()),
 	}
+	if b := p.below; b != nil {
+		args = append(args, slog.Group("below", "calls", b.Made.Load(), "well", b.Ended[rules.OK].Load(),
+			"failed", b.Ended[rules.Failed].Load(), "full", b.Ended[rules.Full].Load(), "timed_out", b.Ended[rules.TimedOut].Load(),
+			"connect_failed", b.Ended[rules.ConnectFailed].Load(), "reset", b.Ended[rules.Reset].Load(),
+			"given_up", b.Ended[rules.Cancelled].Load(), traffic(&b.Traffic)))
+	}
 	if p.memory != nil {
 		c, s := &p.memory.Counters, &p.memory.Store().Stats
 		syncs := s.Syncs.Load()
--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -25,6 +25,7 @@
 
 	"robinmast/internal/comeback"
 	"robinmast/internal/config"
+	"robinmast/internal/dependency"
 	"robinmast/internal/exchange"
 	"robinmast/internal/front"
 	"robinmast/internal/members"
@@ -40,6 +41,7 @@
 const (
 	heapShare    = 0.7                    // of the memory limit that Go's own limit takes: stacks and the kernel need some
 	gcPercent    = 100                    // measured: see docs/results.md
+	callSockets  = 32                     // descriptors for calls below, where there are any
 	ownSockets   = 16                     // descriptors for everything but dispatchers' connections
 	outShare     = 8                      // part of the memory that all out rings may take: 1 of so many
 	keyShare     = 8                      // part of the memory that kept results may take: 1 of so many
@@ -202,7 +204,8 @@
 	pool   *pool.Link
 	report *members.Reporter
 	node   *node.Node
-	memory *recall.Memory // nil = nothing is remembered
+	memory *recall.Memory     // nil = nothing is remembered
+	below  *dependency.Client // nil = nothing is called
 
 	reloaded chan reloaded // a configuration that was read anew
 	reading  bool          // one is being read
@@ -249,6 +252,15 @@
 	if mem != nil { // else the interface would not be nil
 		nc.Memory = mem
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sockets := cfg.Limits.Sockets - ownSockets
+	if cfg.set.Below == rules.BelowShared {
+		conns := max(min(callSockets, cfg.Limits.Sockets/8), 1)
+		p.below = dependency.New(ctx, cfg.DB, conns, log)
+		nc.Calls = p.below
+		sockets -= conns
+	}
 	if back != nil {
 		nc.Comeback = back
 	}
@@ -264,7 +276,7 @@
 		setup = cfg.own.Together.Setup * cfg.Limits.Cores
 	}
 	p.front = front.New(front.Config{
-		Settings: cfg.set, Names: cfg.names, MaxConns: max(cfg.Limits.Sockets-ownSockets, 1),
+		Settings: cfg.set, Names: cfg.names, MaxConns: max(sockets, 1),
 		OutBytes: memory / outShare, Setup: setup, Log: log,
 	}, p.node, p.ledger)
 	p.pool = pool.New(cfg.Pool, p.node, log)
@@ -274,8 +286,6 @@
 	}
 	p.node.Attach(p.front, p.pool)
 
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
 	failed := make(chan error, 2)
 	var running sync.WaitGroup
 	start := func(f func()) { running.Go(f) }
@@ -384,9 +394,12 @@
 	}
 	p.log.Info("new configuration", "pool", cfg.Pool, "members", cfg.Members,
 		"pool_moves", cfg.Pool != p.cfg.Pool, "members_move", cfg.Members != p.cfg.Members)
-	p.cfg.Pool, p.cfg.Members = cfg.Pool, cfg.Members
+	p.cfg.Pool, p.cfg.Members, p.cfg.DB = cfg.Pool, cfg.Members, cfg.DB
 	p.pool.Move(cfg.Pool)
 	p.report.Move(cfg.Members)
+	if p.below != nil {
+		p.below.Move(cfg.DB)
+	}
 }
 
 // sameSettings compares what the platform says; pools and together are the node's own.
--- a/cmd/robinmast/serve_test.go
+++ b/cmd/robinmast/serve_test.go
@@ -81,6 +81,12 @@
 		case "spawn":
 			if w.runs[m.ID] == nil {
 				w.started[m.ID]++
+				if statement, calls := strings.CutPrefix(string(m.Body), "call "); calls {
+					w.runs[m.ID] = time.AfterFunc(time.Hour, func() {})
+					text, _ := json.Marshal([]byte(statement))
+					w.notice(fmt.Sprintf(`"op":"blocked","id":%q,"body":%s`, m.ID, text))
+					break
+				}
 				var ms int
 				fmt.Sscan(string(m.Body), &ms)
 				body, _ := json.Marshal([]byte("did " + string(m.Body)))
@@ -88,6 +94,11 @@
 					w.finish(m.ID, fmt.Sprintf(`"complete","ms":%d,"body":%s`, ms, body))
 				})
 			}
+		case "supply":
+			if w.runs[m.ID] != nil {
+				body, _ := json.Marshal([]byte("from " + string(m.Body)))
+				go w.finish(m.ID, fmt.Sprintf(`"complete","ms":5,"body":%s`, body))
+			}
 		case "suspend":
 			if r := w.runs[m.ID]; r != nil && r.Stop() {
 				go w.finish(m.ID, `"cancelled","ms":1`)
@@ -103,7 +114,12 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.runs, id)
-	n := fmt.Sprintf(`{"op":"finished","seq":%d,"id":%q,"end":%s}`, len(w.notices)+1, id, end)
+	w.notice(fmt.Sprintf(`"op":"finished","id":%q,"end":%s`, id, end))
+}
+
+// notice numbers, keeps and sends one; the lock must be held.
+func (w *workers) notice(text string) {
+	n := fmt.Sprintf(`{"seq":%d,%s}`, len(w.notices)+1, text)
 	w.notices = append(w.notices, n)
 	if !w.deaf && w.link != nil {
 		fmt.Fprintln(w.link, n)
@@ -163,6 +179,12 @@
 }
 
 func newSystem(t *testing.T) *system {
+	t.Helper()
+	return newSystemOf(t, func(text string) string { return text })
+}
+
+// newSystemOf is newSystem with a configuration that change has made of the usual one.
+func newSystemOf(t *testing.T, change func(string) string) *system {
 	t.Helper()
 	s := &system{t: t, workers: newWorkers(t), signals: make(chan os.Signal, 4), done: make(chan error, 1), log: &logBuffer{}}
 	members := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
@@ -177,6 +199,7 @@
 	text := strings.NewReplacer("127.0.0.1:8080", s.addr, "127.0.0.1:4400", s.workers.ln.Addr().String(),
 		"127.0.0.1:2379", strings.TrimPrefix(members.URL, "http://"), `"stop_ms":3200`, `"stop_ms":3000`, `"cpus":2`, `"cpus":64`,
 		`"stopSendingWithinMs":200`, `"stopSendingWithinMs":700`, `"aimMs":1000`, `"aimMs":3500`).Replace(goodConfig)
+	text = change(text)
 	cfg, err := parse([]byte(text), none)
 	if err != nil {
 		t.Fatal(err)
@@ -233,7 +256,7 @@
 	if n(p, "spawned") != n(p, "complete", "error", "cancelled", "moot", "running") {
 		s.t.Errorf("runs don't add up: %v", p)
 	}
-	for _, side := range []map[string]any{d, p, group(c, "members")} {
+	for _, side := range []map[string]any{d, p, group(c, "members"), group(c, "below")} {
 		l := group(side, "link")
 		ends := 0.0
 		for k := range l {
@@ -493,3 +516,43 @@
 		t.Errorf("%v, %v", c["keys"], c["pool"])
 	}
 }
+
+// Another customer's requests call a database below: the run stands, the node makes the
+// call, and the run goes on with its rows. SIGHUP moves later calls to another address.
+func TestServeCallsBelow(t *testing.T) {
+	database := func(name string) (addr string, asked *atomic.Int64) {
+		asked = &atomic.Int64{}
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			asked.Add(1)
+			statement, _ := io.ReadAll(q.Body)
+			fmt.Fprintf(w, "%s of %s", statement, name)
+		}))
+		t.Cleanup(srv.Close)
+		return strings.TrimPrefix(srv.URL, "http://"), asked
+	}
+	first, asked := database("one")
+	next, then := database("two")
+	s := newSystemOf(t, func(text string) string {
+		return strings.NewReplacer(`"stop_ms"`, `"db":"`+first+`","stop_ms"`, `"below":"none"`, `"below":"shared","callShare":8,"callsOverMs":5000,"classCalls":[true,true]`).Replace(text)
+	})
+	d := s.dial()
+	ask := func(tag int) {
+		d.Say("RPC.CALL", fmt.Sprint(tag), "read", fmt.Sprintf("txn=%016x,door=%d,lb=1,team=acme,limit=4000,cpu=5,ram=10,standing=0.5",
+			txns.Add(1), time.Now().UnixMilli()), "call rows")
+	}
+	ask(1)
+	if got := d.Hear(); !strings.HasPrefix(got, "1 ACK") || !strings.HasSuffix(got, "from rows of one") {
+		t.Errorf("%q", got)
+	}
+	text := strings.Replace(*s.config.Load(), first, next, 1)
+	s.config.Store(&text)
+	s.signals <- syscall.SIGHUP
+	standin.Eventually(t, "the new configuration", func() bool { return s.log.line("new configuration") != nil })
+	ask(2)
+	if got := d.Hear(); !strings.HasPrefix(got, "2 ACK") || !strings.HasSuffix(got, "from rows of two") {
+		t.Errorf("%q", got)
+	}
+	if b := s.stop()["below"].(map[string]any); asked.Load() != 1 || then.Load() != 1 || b["calls"].(float64) != 2 || b["well"].(float64) != 2 {
+		t.Errorf("%d and %d calls came, %v", asked.Load(), then.Load(), b)
+	}
+}
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -55,15 +55,27 @@
 	}
 }
 
-// Call and Skip have no protocol on this platform; the configuration admits no
-// settings under which the module would ask for them.
-func (h host) Call(id rules.RequestID, _ time.Duration) {
-	h.cfg.Log.Error("the module asked for a call; there is no protocol for one", "id", uint64(id))
+// Call makes the call that a run stands at. The configuration admits settings with
+// calls only where there is something to call.
+func (h host) Call(id rules.RequestID, timeout time.Duration) {
+	it := h.items[id]
+	if it == nil || h.cfg.Calls == nil {
+		return
+	}
+	it.giveUpCall()
+	h.calls++
+	call := h.calls
+	it.call = call
+	it.hangUp = h.cfg.Calls.Call(it.x.Txn, it.statement, timeout, func(o rules.Outcome, result []byte, took time.Duration) {
+		h.post(event{kind: called, x: it.x, out: o, body: result, took: took, call: call})
+	})
 }
 
-// Skip is like Call.
+// Skip lets a run go on without the call it stands at.
 func (h host) Skip(id rules.RequestID) {
-	h.cfg.Log.Error("the module asked to skip a call; there is no protocol for one", "id", uint64(id))
+	if it := h.items[id]; it != nil {
+		h.pool.Pass(it.x)
+	}
 }
 
 // Keep makes or renews a request's entry in the table.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,9 +38,17 @@
 type Pool interface {
 	Spawn(*exchange.Exchange)
 	Suspend(*exchange.Exchange)
+	Supply(x *exchange.Exchange, result []byte)
+	Pass(*exchange.Exchange)
 	Poll()
 }
 
+// Calls is what the loop needs of what lies below. done is told once, unless the
+// call was given up before.
+type Calls interface {
+	Call(ref string, statement []byte, timeout time.Duration, done func(o rules.Outcome, result []byte, took time.Duration)) (cancel func())
+}
+
 // Config is what a Node needs.
 type Config struct {
 	Settings rules.Settings
@@ -49,6 +57,7 @@
 	Health   func(good bool)
 	Load     func(Load)                         // told with each timer, nil = nobody wants to know
 	Word     func(together.Word, together.View) // the same, where the module thinks of the fleet
+	Calls    Calls                              // what lies below, nil = nothing
 	Memory   Memory                             // what outlives the node, nil = nothing
 	Comeback Comeback                           // the way back to full service, nil = it is not looked at
 	Log      *slog.Logger
@@ -128,6 +137,8 @@
 	finished
 	bound
 	drain
+	blocked  // a run stands at a call below
+	called   // a call below is over
 	intended // the intent of a run is durable, or could not be written
 	stray    // a run ended that this life did not ask for
 	inspect  // somebody wants to see the pools, or how the fleet is thought of
@@ -142,6 +153,8 @@
 	Ended(now time.Duration, id rules.RequestID, o rules.Outcome, took time.Duration)
 	Gone(now time.Duration, id rules.RequestID)
 	Drain(now time.Duration, left time.Duration)
+	NeedsCall(now time.Duration, id rules.RequestID)
+	Called(now time.Duration, id rules.RequestID, o rules.Outcome, took time.Duration)
 	Woke(now time.Duration, token uint64, gauges []float64)
 	Settle(now time.Duration)
 	Restored(now time.Duration, id rules.RequestID, span time.Duration)
@@ -160,6 +173,8 @@
 	err  error             // intended
 	run  string            // stray
 	show chan []pools.View // inspect
+	out  rules.Outcome     // called
+	call uint64            // called: which one
 
 	seen   chan together.View // inspect
 	digest *together.Digest   // told, took ago
@@ -172,10 +187,15 @@
 type item struct {
 	id      rules.RequestID
 	x       *exchange.Exchange
-	running bool          // a run was asked for and is not over
-	reusing bool          // waits for the result of the request it repeats
-	kept    *kept         // the entry it holds
-	gate    atomic.Uint32 // of a run that waits for its intent
+	running bool  // a run was asked for and is not over
+	reusing bool  // waits for the result of the request it repeats
+	kept    *kept // the entry it holds
+
+	statement []byte // of the call it stands at
+	call      uint64 // the number of the call that is out, 0 = none is
+	hangUp    func() // gives it up
+
+	gate atomic.Uint32 // of a run that waits for its intent
 }
 
 // Node is one node's loop. Its exported methods may be called by any goroutine.
@@ -200,6 +220,7 @@
 	born    time.Duration
 	now     time.Duration
 	nextID  rules.RequestID
+	calls   uint64 // made below so far
 	items   map[rules.RequestID]*item
 	byX     map[*exchange.Exchange]*item
 	byTxn   map[string]struct{}
@@ -269,6 +290,11 @@
 	n.mu.Unlock()
 }
 
+// Blocked takes the word that a run stands at a call below.
+func (n *Node) Blocked(x *exchange.Exchange, statement []byte) {
+	n.post(event{kind: blocked, x: x, body: statement})
+}
+
 // Drain gives the notice to leave: the process stops after left.
 func (n *Node) Drain(left time.Duration) { n.post(event{kind: drain, took: left}) }
 
@@ -488,6 +514,13 @@
 			n.leaving, n.notice, n.left = true, n.now, e.took
 		}
 		n.drain()
+	case blocked:
+		if it := n.byX[e.x]; it != nil && it.running {
+			it.statement = e.body
+			n.module.NeedsCall(n.now, it.id)
+		}
+	case called:
+		n.called(e)
 	case intended:
 		n.intended(e)
 	case stray:
@@ -594,6 +627,27 @@
 	return q
 }
 
+// called takes the end of a call. The run goes on with its result, if there is one.
+func (n *Node) called(e event) {
+	it := n.byX[e.x]
+	if it == nil || it.call != e.call { // its run ended meanwhile
+		return
+	}
+	it.call, it.hangUp = 0, nil
+	if e.out == rules.OK {
+		n.pool.Supply(it.x, e.body)
+	}
+	n.module.Called(n.now, it.id, e.out, e.took)
+}
+
+// giveUpCall ends the call of a request that is over, if one is out.
+func (it *item) giveUpCall() {
+	if it.call != 0 {
+		it.hangUp()
+		it.call, it.hangUp = 0, nil
+	}
+}
+
 // finish takes the end of a run or a reuse. A result goes out by itself, as
 // does a failure; a run that was stopped without an answer is the module's again.
 func (n *Node) finish(e event) {
@@ -606,6 +660,7 @@
 	}
 	reused := it.reusing
 	it.running, it.reusing = false, false
+	it.giveUpCall()
 	if it.kept != nil && e.has {
 		it.kept.stored, it.kept.ref = true, it.kept.key[1:]
 	}
@@ -646,6 +701,7 @@
 }
 
 func (n *Node) forget(it *item) {
+	it.giveUpCall()
 	delete(n.items, it.id)
 	delete(n.byX, it.x)
 	delete(n.byTxn, it.x.Txn)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -18,6 +18,7 @@
 type side struct {
 	mu                 sync.Mutex // a memory lets runs begin and answers out by itself
 	spawned, suspended []string
+	supplied, passed   []string
 	polls              int
 	answers            map[uint64][]exchange.Answer
 	good               bool
@@ -30,10 +31,14 @@
 	s.spawned = append(s.spawned, x.Txn)
 }
 func (s *side) Suspend(x *exchange.Exchange) { s.suspended = append(s.suspended, x.Txn) }
-func (s *side) Poll()                        { s.polls++ }
-func (s *side) SetHealth(good bool)          { s.good = good }
-func (s *side) Say(v float64)                { s.said = v }
-func (s *side) CloseIdle(time.Duration)      {}
+func (s *side) Pass(x *exchange.Exchange)    { s.passed = append(s.passed, x.Txn) }
+func (s *side) Supply(x *exchange.Exchange, result []byte) {
+	s.supplied = append(s.supplied, x.Txn+" "+string(result))
+}
+func (s *side) Poll()                   { s.polls++ }
+func (s *side) SetHealth(good bool)     { s.good = good }
+func (s *side) Say(v float64)           { s.said = v }
+func (s *side) CloseIdle(time.Duration) {}
 func (s *side) Reply(tag uint64, a exchange.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -662,3 +667,73 @@
 		r.empty()
 	})
 }
+
+// calls stands in for what lies below.
+type calls struct {
+	refs   []string
+	done   []func(rules.Outcome, []byte, time.Duration)
+	hungUp int
+}
+
+func (c *calls) Call(ref string, statement []byte, _ time.Duration, done func(rules.Outcome, []byte, time.Duration)) func() {
+	c.refs = append(c.refs, ref+" "+string(statement))
+	c.done = append(c.done, done)
+	return func() { c.hungUp++ }
+}
+
+// A run that stands at a call is let go on with the call's result; a call that failed is
+// made again only where that is safe; one whose request is over is given up, and what it
+// brings later goes nowhere.
+func TestCallsBelow(t *testing.T) {
+	set := usual()
+	set.Below, set.CallShare, set.CallWindow = rules.BelowShared, 10, 5*time.Second
+	for i := range set.Classes {
+		set.Classes[i].Calls = true
+	}
+	below := &calls{}
+	r := newRigWith(t, Config{Settings: set, Calls: below}, true)
+	answer := func(i int, o rules.Outcome, text string) {
+		below.done[i](o, []byte(text), time.Millisecond)
+		r.turn()
+	}
+	blocked := func(x *exchange.Exchange, statement string) { r.Blocked(x, []byte(statement)); r.turn() }
+	x := r.send(0, nil)
+	blocked(x, "q1")
+	answer(0, rules.OK, "rows")
+	blocked(x, "q2")
+	answer(1, rules.Reset, "") // safe work: made again
+	if len(below.refs) != 3 || below.refs[2] != x.Txn+" q2" {
+		t.Fatalf("calls %v", below.refs)
+	}
+	answer(2, rules.OK, "more")
+	r.end(x, pool.Complete, "result")
+	r.only(x, exchange.Served, "result")
+	if len(r.supplied) != 2 || r.supplied[0] != x.Txn+" rows" || r.supplied[1] != x.Txn+" more" {
+		t.Errorf("supplied %v", r.supplied)
+	}
+
+	once := r.send(2, nil) // unsafe
+	blocked(once, "q")
+	answer(3, rules.TimedOut, "") // it may have had its effect
+	r.only(once, exchange.Failed, "")
+	r.end(once, pool.Cancelled, "") // as its request is over
+	if len(below.refs) != 4 || len(r.supplied) != 2 {
+		t.Errorf("calls %v, supplied %v", below.refs, r.supplied)
+	}
+
+	gone := r.send(0, nil)
+	blocked(gone, "q")
+	gone.Abandon(exchange.WasGone)
+	r.Gone(gone)
+	r.turn()
+	r.end(gone, pool.Cancelled, "")
+	if below.hungUp != 1 {
+		t.Errorf("%d calls given up", below.hungUp)
+	}
+	answer(4, rules.OK, "late")
+	blocked(gone, "q")
+	if len(r.supplied) != 2 || len(below.refs) != 5 {
+		t.Errorf("after its end: calls %v, supplied %v", below.refs, r.supplied)
+	}
+	r.empty()
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -60,6 +60,9 @@
 	Bound(cold bool, since time.Duration)
 	// Finished tells that a run is over; result is set if it is Complete.
 	Finished(x *exchange.Exchange, end End, took time.Duration, result []byte)
+	// Blocked tells that a run stands at a call below, with this statement, until
+	// Supply or Pass.
+	Blocked(x *exchange.Exchange, statement []byte)
 	// Polled brings the gauges.
 	Polled(values []float64)
 	// Stray tells of the end of a run that this process did not ask for: one of
@@ -87,6 +90,9 @@
 	sent    bool      // it may have reached the worker pool
 	at      time.Time // when it was sent last
 	stopped bool
+
+	word   *command  // what it was told at its last call, nil = nothing yet
+	wordAt time.Time // when that was sent last, zero = never
 }
 
 // Link is the link to the worker pool.
@@ -224,6 +230,33 @@
 	l.mu.Unlock()
 }
 
+// Supply lets a run that stands at a call go on with the call's result.
+func (l *Link) Supply(x *exchange.Exchange, result []byte) {
+	if result == nil {
+		result = []byte{}
+	}
+	l.tell(x, command{Op: "supply", ID: x.Txn, Body: &result})
+}
+
+// Pass lets a run that stands at a call go on without it.
+func (l *Link) Pass(x *exchange.Exchange) { l.tell(x, command{Op: "pass", ID: x.Txn}) }
+
+// tell says a word on a call. It is kept until the run is heard of again, as it may
+// be lost with its link.
+func (l *Link) tell(x *exchange.Exchange, word command) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runs[x.Txn]
+	if r == nil || r.x != x {
+		return // it is over
+	}
+	r.word, r.wordAt = &word, time.Time{}
+	if l.ready {
+		r.wordAt = time.Now()
+		send(l.conn, word)
+	}
+}
+
 // Poll asks for the gauges, if there is a link to ask on.
 func (l *Link) Poll() {
 	l.mu.Lock()
@@ -430,6 +463,10 @@
 		if l.fresh(n) {
 			l.finished(n)
 		}
+	case "blocked":
+		if l.fresh(n) {
+			l.blocked(n)
+		}
 	case "chatter":
 		l.fresh(n)
 	case "polled":
@@ -486,6 +523,10 @@
 			}
 			l.spawn(r)
 		}
+		if r.word != nil && (r.wordAt.IsZero() || l.broke.Sub(r.wordAt) < lostTail) {
+			r.wordAt = time.Now()
+			send(l.conn, *r.word)
+		}
 		if r.stopped {
 			send(l.conn, command{Op: "suspend", ID: r.x.Txn})
 		}
@@ -556,6 +597,22 @@
 	l.sink.Finished(r.x, end, milliseconds(n.Ms), n.Body)
 }
 
+// blocked takes the word that a run stands at a call. A word on an earlier call of
+// its was taken.
+func (l *Link) blocked(n notice) {
+	l.mu.Lock()
+	r := l.runs[n.ID]
+	if r != nil {
+		r.word = nil
+	}
+	l.mu.Unlock()
+	if r == nil {
+		l.complain("call of a run that was not asked for", "id", clip(n.ID))
+		return
+	}
+	l.sink.Blocked(r.x, n.Body)
+}
+
 // rejected takes the word that a command was not carried out. A spawn that was
 // not has no run, and never will.
 func (l *Link) rejected(n notice) {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -31,6 +31,7 @@
 	bound  []bool
 	since  time.Duration
 	done   []finish
+	calls  []string
 	gauges []float64
 }
 
@@ -46,6 +47,18 @@
 	r.done = append(r.done, finish{x, end, took, string(result)})
 }
 
+func (r *recorder) Blocked(x *exchange.Exchange, statement []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, x.Txn+" "+string(statement))
+}
+
+func (r *recorder) blocked() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.calls...)
+}
+
 func (r *recorder) Stray(string, End, []byte) {}
 func (r *recorder) Polled(v []float64) {
 	r.mu.Lock()
@@ -111,6 +124,7 @@
 // accept takes the next link and its bind.
 func (w *workers) accept(after int) {
 	w.t.Helper()
+	_ = w.ln.(*net.TCPListener).SetDeadline(time.Now().Add(8 * time.Second))
 	c, err := w.ln.Accept()
 	if err != nil {
 		w.t.Fatal(err)
@@ -443,3 +457,95 @@
 		t.Errorf("%d repeated, %d bad", l.Counters.Repeated.Load(), l.Counters.Bad.Load())
 	}
 }
+
+func blockedLine(seq int, txn, statement string) string {
+	return fmt.Sprintf(`{"op":"blocked","seq":%d,"id":%q,"body":%q}`, seq, txn, base64.StdEncoding.EncodeToString([]byte(statement)))
+}
+
+func supplyLine(txn, result string) string {
+	return fmt.Sprintf(`{"op":"supply","id":%q,"body":%q}`, txn, base64.StdEncoding.EncodeToString([]byte(result)))
+}
+
+// A run that stands at a call goes on with its result, or without it. The word is said
+// again where it may have been lost with its link, and not where the run has been heard of since.
+func TestCallsBelow(t *testing.T) {
+	l, sink, w := start(t)
+	w.open(1, 0)
+	a, b, c := request("a", true), request("b", false), request("c", true)
+	for _, x := range []*exchange.Exchange{a, b, c} {
+		l.Spawn(x)
+		w.expect(spawnLine(x.Txn))
+	}
+	w.say(blockedLine(1, "a", "q1"), blockedLine(2, "b", "q2"), blockedLine(3, "c", "q3"), blockedLine(4, "stranger", "q"), blockedLine(2, "b", "again"))
+	standin.Eventually(t, "three calls", func() bool { return len(sink.blocked()) == 3 })
+	if got := strings.Join(sink.blocked(), ","); got != "a q1,b q2,c q3" {
+		t.Errorf("calls %s", got)
+	}
+	l.Supply(a, []byte("rows"))
+	w.expect(supplyLine("a", "rows"))
+	l.Pass(c)
+	w.expect(`{"op":"pass","id":"c"}`)
+	w.say(blockedLine(5, "a", "q4"), `{"op":"finished","seq":6,"id":"c","end":"complete","ms":1,"body":""}`)
+	standin.Eventually(t, "a second call", func() bool { return len(sink.blocked()) == 4 && len(sink.finished()) == 1 })
+	l.Supply(b, nil)
+	w.expect(supplyLine("b", ""))
+	w.c.Close() // at once, so that it may not have read that
+	w.accept(6)
+	l.Supply(c, []byte("late")) // it is over
+	l.Supply(a, []byte("more")) // waits for the replay to end
+	w.say(`{"op":"bound","end":"hot","ms":5}`)
+	w.expect(`{"op":"poll","tag":"r2"}`)
+	w.say(`{"op":"polled","tag":"r2","values":[0,0]}`)
+	for range 4 { // runs that may not have been heard of are asked for again first
+		_ = w.c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		line, err := w.rd.ReadString('\n')
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch line = strings.TrimSuffix(line, "\n"); line {
+		case spawnLine("a"), spawnLine("b"), supplyLine("a", "more"), supplyLine("b", ""):
+		default:
+			t.Errorf("said %s", line)
+		}
+	}
+	w.silent()
+	l.Suspend(a)
+	w.expect(`{"op":"suspend","id":"a"}`)
+}
+
+// The link breaks within a notice, at every one of its bytes. The notice comes again on
+// the next link, and counts once: no result is cut, none is taken for another's, none runs twice.
+func TestNoticeCutAtEveryByte(t *testing.T) {
+	l, sink, w := start(t)
+	w.open(1, 0)
+	link := 1
+	for cut, whole := 0, 1; cut < whole; cut++ {
+		txn := fmt.Sprintf("%016x", cut)
+		l.Spawn(request(txn, false))
+		w.expect(spawnLine(txn))
+		w.say(fmt.Sprintf(`{"op":"polled","tag":"g%d","values":[0,0]}`, cut+1)) // so it has been heard of
+		line := fmt.Sprintf(`{"op":"finished","seq":%d,"id":%q,"end":"complete","ms":3,"body":"cm93cw=="}`, cut+1, txn)
+		whole = len(line)
+		standin.Eventually(t, "heard", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.heard == uint64(cut+1) })
+		if _, err := w.c.Write([]byte(line[:cut])); err != nil {
+			t.Fatal(err)
+		}
+		l.mu.Lock() // as if it had been sent long before the break
+		l.runs[txn].at = time.Now().Add(-time.Hour)
+		l.mu.Unlock()
+		w.c.Close()
+		link++
+		w.accept(cut)
+		w.say(`{"op":"bound","end":"hot","ms":5}`, line)
+		w.expect(fmt.Sprintf(`{"op":"poll","tag":"r%d"}`, link))
+		w.say(fmt.Sprintf(`{"op":"polled","tag":"r%d","values":[0,0]}`, link))
+		standin.Eventually(t, "the end", func() bool { return len(sink.finished()) == cut+1 })
+		if f := sink.finished()[cut]; f.x.Txn != txn || f.end != Complete || f.body != "rows" {
+			t.Fatalf("cut at %d: %+v", cut, f)
+		}
+		standin.Eventually(t, "the link", l.isReady)
+	}
+	if n := l.Counters.Respawns.Load(); n != 0 {
+		t.Errorf("%d runs were asked for again", n)
+	}
+}
