Tests of the whole program: notices, half-written configurations, held ports, replacement

Need: signals and starts were seen in process only. Change: cmd/robinmast/lifecycle_test.go starts the program as its platform does and looks from outside: a port still held, a notice before listening, pool, registry and configuration that all hang at the notice with other signals between, a configuration half written at four points, a node told or killed while a request runs and its successor waits for the port. All waits are for a state. That the notice has a channel of its own is not held by a test.

--- /dev/null
+++ b/cmd/robinmast/lifecycle_test.go
@@ -0,0 +1,321 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"robinmast/internal/standin"
+	around "robinmast/internal/standin/platform"
+)
+
+// The tests of this file run the whole program as its platform does, and look at it
+// from outside only: its log, its exit status, and what its sockets say.
+
+// process is the whole program, started with one configuration.
+type process struct {
+	t      *testing.T
+	cmd    *exec.Cmd
+	out    *lockedBuffer
+	exited chan error
+}
+
+func launch(t *testing.T, config string) *process {
+	t.Helper()
+	p := &process{t: t, out: &lockedBuffer{}, exited: make(chan error, 1)}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), "ROBINMAST_AS_MAIN=1", "EDGE_CONFIG="+config)
+	p.cmd.Stderr = p.out
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.exited <- p.cmd.Wait() }()
+	t.Cleanup(func() { _ = p.cmd.Process.Kill() }) // it may have ended
+	return p
+}
+
+func (p *process) says(what string) {
+	p.t.Helper()
+	standin.Eventually(p.t, "the log says "+what, func() bool { return strings.Contains(p.out.String(), what) })
+}
+
+func (p *process) signal(all ...syscall.Signal) {
+	p.t.Helper()
+	for _, sig := range all {
+		if err := p.cmd.Process.Signal(sig); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
+// leaves waits for the exit, which must be in order and within most.
+func (p *process) leaves(most time.Duration) {
+	p.t.Helper()
+	began := time.Now()
+	select {
+	case err := <-p.exited:
+		if d := time.Since(began); err != nil || d > most {
+			p.t.Errorf("exit %v after %v: %s", err, d, p.out.String())
+		}
+	case <-time.After(15 * time.Second):
+		p.t.Fatalf("does not leave: %s", p.out.String())
+	}
+}
+
+var addresses atomic.Int64
+
+// ownAddress is an address that no other test listens at.
+func ownAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.85.%d.%d:%d", pid>>7&0x7f, pid&0x7f+1, 9000+addresses.Add(1))
+}
+
+// surroundings starts a worker pool whose runs take as many milliseconds as their bodies
+// say, and a membership service, and writes a configuration that names them.
+func surroundings(t *testing.T, listen string, more ...string) (pool *around.Pool, config string) {
+	t.Helper()
+	pool, err := around.StartPool(8, 0, func(r around.Run) (float64, string, []byte) {
+		var ms float64
+		fmt.Sscan(string(r.Body), &ms)
+		return ms, "complete", []byte(fmt.Sprintf("%s ran %s", r.ID, r.Body))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	members, err := around.StartMembers()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { pool.Close(); members.Close() })
+	return pool, write(t, configured(listen, pool.Addr(), members.Addr(), more...))
+}
+
+func configured(listen, pool, members string, more ...string) string {
+	return strings.NewReplacer(append([]string{"127.0.0.1:8080", listen, "127.0.0.1:4400", pool, "127.0.0.1:2379", members,
+		`"cpus":2`, `"cpus":8`, `"aimMs":1000`, `"aimMs":3000`}, more...)...).Replace(goodConfig)
+}
+
+// hanging accepts whoever connects, reads, and says nothing.
+func hanging(t *testing.T) string {
+	t.Helper()
+	ln := standin.Listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = bufio.NewReader(c).WriteTo(discard{}); c.Close() }()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// The former process still holds the port: the next one waits for it, says so, and
+// serves as soon as it is free.
+func TestPortStillHeld(t *testing.T) {
+	addr := ownAddress()
+	former, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer former.Close()
+	_, config := surroundings(t, addr)
+	p := launch(t, config)
+	p.says("another process holds the address")
+	former.Close()
+	p.says("worker pool bound")
+	d := standin.Dial(t, addr)
+	d.Say("RPC.HEALTH", "1", "")
+	if got := d.Hear(); !strings.HasPrefix(got, "1 GREEN") {
+		t.Errorf("%q", got)
+	}
+	d.Close()
+	p.signal(syscall.SIGTERM)
+	p.leaves(3200 * time.Millisecond)
+}
+
+// The notice comes before the node listens: it leaves at once, in order.
+func TestNoticeBeforeListening(t *testing.T) {
+	addr := ownAddress()
+	former, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer former.Close()
+	_, config := surroundings(t, addr)
+	p := launch(t, config)
+	p.says("another process holds the address")
+	p.signal(syscall.SIGTERM)
+	p.leaves(3 * time.Second) // a program built to find races stays a second longer
+	p.says("notice to leave before anything listened")
+}
+
+// The worker pool was never heard, the membership service hangs, and the new
+// configuration can't be read to its end when the notice comes, twice, with other
+// signals between: what was read is answered once, and the exit is in order and in time.
+func TestNoticeWhileAllHangs(t *testing.T) {
+	addr := ownAddress()
+	config := write(t, configured(addr, hanging(t), hanging(t)))
+	p := launch(t, config)
+	p.says("node started")
+	d, rests := standin.Dial(t, addr), standin.Dial(t, addr)
+	for tag := 1; tag <= 3; tag++ {
+		d.Say("RPC.CALL", fmt.Sprint(tag), "read", fmt.Sprintf("txn=%016x,door=%d,lb=1,team=acme,limit=9000,ram=10,standing=0.5", tag, time.Now().UnixMilli()), "5")
+	}
+	for _, c := range []*standin.Dispatcher{rests, d} { // so all was read
+		c.Say("RPC.HEALTH", "9", "")
+		if got := c.Hear(); !strings.HasPrefix(got, "9 ") {
+			t.Fatalf("%q", got)
+		}
+	}
+	pipe := filepath.Join(filepath.Dir(config), "pipe")
+	if err := errors.Join(syscall.Mkfifo(pipe, 0o600), os.Rename(pipe, config)); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM)
+	p.says("notice to leave")
+	p.signal(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGINT)
+	answers := map[string]int{}
+	for {
+		got := d.Hear()
+		if got == "EOF" {
+			break
+		}
+		tag, word, _ := strings.Cut(got, " ")
+		answers[tag]++
+		if tag != "0" && !strings.HasPrefix(word, "NAK") && !strings.HasPrefix(word, "FAIL") {
+			t.Errorf("%q", got)
+		}
+	}
+	for _, tag := range []string{"0", "1", "2", "3"} {
+		if answers[tag] != 1 {
+			t.Errorf("%d answers to %s", answers[tag], tag)
+		}
+	}
+	p.leaves(3200 * time.Millisecond)
+	if s := p.out.String(); strings.Count(s, "msg=\"notice to leave\"") != 1 {
+		t.Errorf("the notice is told more than once: %s", s)
+	}
+}
+
+// A configuration that is half written when SIGHUP comes changes nothing and is told
+// in one line; the same file, whole, moves both addresses.
+func TestHalfWrittenConfiguration(t *testing.T) {
+	addr := ownAddress()
+	_, config := surroundings(t, addr)
+	p := launch(t, config)
+	p.says("worker pool bound")
+	next, other := surroundings(t, addr)
+	text, err := os.ReadFile(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text = bytes.TrimSpace(text)
+	for i, cut := range []int{0, 1, len(text) / 2, len(text) - 1} {
+		if err := os.WriteFile(config, text[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.signal(syscall.SIGHUP)
+		standin.Eventually(t, "one line more", func() bool { return strings.Count(p.out.String(), "new configuration not taken") == i+1 })
+	}
+	if s := p.out.String(); strings.Count(s, config) != 4 {
+		t.Errorf("the lines do not name the file: %s", s)
+	}
+	if err := os.WriteFile(config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.signal(syscall.SIGHUP)
+	p.says("worker pool link moved")
+	d := standin.Dial(t, addr)
+	d.Say("RPC.CALL", "1", "read", fmt.Sprintf("txn=00000000000000aa,door=%d,lb=1,team=acme,ram=10,standing=0.5", time.Now().UnixMilli()), "5")
+	if got := d.Hear(); !strings.HasPrefix(got, "1 ACK") {
+		t.Errorf("%q", got)
+	}
+	if next.Began()["00000000000000aa"] != 1 {
+		t.Error("not run at the new address")
+	}
+	p.signal(syscall.SIGTERM)
+	p.leaves(3200 * time.Millisecond)
+}
+
+// A node is replaced, told or killed, while a request runs and others come in. The
+// successor starts while the former still holds the port. Each request gets one final
+// answer or sees its connection end, none runs twice, and the successor serves none
+// from a word about the former's runs, which its worker pool tells it too.
+func TestReplacedWithRequestsInFlight(t *testing.T) {
+	for name, sig := range map[string]syscall.Signal{"told": syscall.SIGTERM, "killed": syscall.SIGKILL} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			addr := ownAddress()
+			pool, config := surroundings(t, addr, `"stopSendingWithinMs":200`, `"stopSendingWithinMs":100`)
+			former := launch(t, config)
+			former.says("worker pool bound")
+			call := func(d *standin.Dispatcher, tag, txn, ms int) {
+				d.Say("RPC.CALL", fmt.Sprint(tag), "pay", fmt.Sprintf("txn=%016x,door=%d,lb=1,team=acme,limit=3500,ram=10,standing=0.5,unique=k%d",
+					txn, time.Now().UnixMilli(), txn), fmt.Sprint(ms))
+			}
+			began := func(txn int) int { return pool.Began()[fmt.Sprintf("%016x", txn)] }
+			d := standin.Dial(t, addr)
+			call(d, 1, 1, 700)
+			standin.Eventually(t, "the run", func() bool { return began(1) == 1 })
+			successor := launch(t, config)
+			successor.says("another process holds the address")
+			former.signal(sig)
+			if sig == syscall.SIGTERM {
+				got := d.Hear()
+				for got == "0 FIN" {
+					got = d.Hear()
+				}
+				if got != "1 ACK  "+fmt.Sprintf("%016x ran 700", 1) && !strings.HasSuffix(got, "ran 700") {
+					t.Errorf("%q", got)
+				}
+				if got := d.Hear(); got != "EOF" && got != "0 FIN" {
+					t.Errorf("%q", got)
+				}
+				d.Close()
+				former.leaves(3500 * time.Millisecond)
+			} else {
+				if got := d.Hear(); got != "EOF" {
+					t.Errorf("%q", got)
+				}
+				<-former.exited
+			}
+			successor.says("worker pool bound")
+			d = standin.Dial(t, addr)
+			call(d, 1, 2, 30) // the tag of the former's request
+			if got := d.Hear(); !strings.HasSuffix(got, fmt.Sprintf("%016x ran 30", 2)) {
+				t.Errorf("%q", got)
+			}
+			standin.Eventually(t, "the word about the former's run", func() bool {
+				return strings.Contains(successor.out.String(), "end of a run that was not asked for")
+			})
+			call(d, 2, 3, 30)
+			if got := d.Hear(); !strings.HasSuffix(got, fmt.Sprintf("%016x ran 30", 3)) {
+				t.Errorf("%q", got)
+			}
+			for txn := 1; txn <= 3; txn++ {
+				if n := began(txn); n != 1 {
+					t.Errorf("request %d ran %d times", txn, n)
+				}
+			}
+			d.Close()
+			successor.signal(syscall.SIGTERM)
+			successor.leaves(3200 * time.Millisecond)
+		})
+	}
+}
