--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -402,8 +402,10 @@
 	}
 }
 
-// sameSettings compares what the platform says; pools and together are the node's own.
+// sameSettings compares what the platform says; pools and together are the node's own,
+// and whether a node has just started is no setting of it.
 func sameSettings(a, b rules.Settings) bool {
+	a.Cold = b.Cold
 	a.NewPools, b.NewPools = nil, nil
 	a.NewTogether, b.NewTogether = nil, nil
 	return reflect.DeepEqual(a, b)
--- a/internal/front/races_test.go
+++ b/internal/front/races_test.go
@@ -322,3 +322,66 @@
 		t.Errorf("%d arrived", a)
 	}
 }
+
+// A dispatcher breaks off at each point of a request's life. Nothing of its is left, and
+// another's request beside it is served.
+func TestResetAtEachPoint(t *testing.T) {
+	whole := standin.Words("RPC.CALL", "1", "read", fields, "x")
+	b := start(t, nil)
+	other := b.dial(t)
+	other.Say("RPC.HEALTH", "1", "")
+	other.Hear() // so it counts, and is no silent stranger
+	for name, bring := range map[string]func(d *standin.Dispatcher) (done func()){
+		"connected":    func(*standin.Dispatcher) func() { return nil },
+		"half written": func(d *standin.Dispatcher) func() { d.Write(whole[:40]); return nil },
+		"unread": func(d *standin.Dispatcher) func() {
+			gate := make(chan struct{})
+			b.sink.mu.Lock()
+			b.sink.gate = gate
+			n := len(b.sink.arrived)
+			b.sink.mu.Unlock()
+			d.Write(whole)
+			standin.Eventually(t, "one handed on", func() bool { a, _ := b.sink.counts(); return a > n })
+			d.Say("RPC.CALL", "2", "read", fields, "x")
+			return func() {
+				b.sink.mu.Lock()
+				b.sink.gate = nil
+				b.sink.mu.Unlock()
+				close(gate)
+			}
+		},
+		"held or running": func(d *standin.Dispatcher) func() {
+			a, _ := b.sink.counts()
+			d.Write(whole)
+			standin.Eventually(t, "arrival", func() bool { n, _ := b.sink.counts(); return n > a })
+			return nil
+		},
+		"answered": func(d *standin.Dispatcher) func() {
+			a, _ := b.sink.counts()
+			d.Write(whole)
+			standin.Eventually(t, "arrival", func() bool { n, _ := b.sink.counts(); return n > a })
+			b.sink.last().Answer(served)
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := b.Conns()
+			d := b.dial(t)
+			standin.Eventually(t, "the connection", func() bool { return b.Conns() == before+1 })
+			done := bring(d)
+			d.SetLinger(0)
+			d.Close()
+			if done != nil {
+				done()
+			}
+			standin.Eventually(t, "its end", func() bool { return b.Conns() == before && b.ledger.InHand() == 0 })
+			a, _ := b.sink.counts()
+			other.Say("RPC.CALL", "1", "read", fields, "x")
+			standin.Eventually(t, "the other's", func() bool { n, _ := b.sink.counts(); return n > a })
+			b.sink.last().Answer(served)
+			if got := other.Hear(); got != "1 ACK  r" {
+				t.Errorf("%q", got)
+			}
+		})
+	}
+}
