--- a/internal/dependency/dependency.go
+++ b/internal/dependency/dependency.go
@@ -155,11 +155,17 @@
 	return rules.Reset
 }
 
+// names are the outcomes in lines.
+var names = [...]string{
+	rules.OK: "ok", rules.Failed: "failed", rules.Full: "full", rules.TimedOut: "timed_out",
+	rules.ConnectFailed: "connect_failed", rules.Reset: "reset", rules.Cancelled: "given_up", rules.Moot: "moot",
+}
+
 // complain logs failures at a bounded rate.
 func (c *Client) complain(o rules.Outcome, err error) {
 	now, last := time.Now().UnixNano(), c.logged.Load()
 	if now-last < int64(logGap) || !c.logged.CompareAndSwap(last, now) {
 		return
 	}
-	c.log.Warn("calls below fail", "outcome", int(o), "err", err, "made", c.Made.Load(), "well", c.Ended[rules.OK].Load())
+	c.log.Warn("calls below fail", "outcome", names[o], "err", err, "made", c.Made.Load(), "well", c.Ended[rules.OK].Load())
 }
