--- a/cmd/robinmast/lifecycle_test.go
+++ b/cmd/robinmast/lifecycle_test.go
@@ -1,10 +1,10 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -108,35 +108,28 @@
 // hanging accepts whoever connects, reads, and says nothing.
 func hanging(t *testing.T) string {
 	t.Helper()
-	ln := standin.Listen(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() { _, _ = bufio.NewReader(c).WriteTo(discard{}); c.Close() }()
-		}
-	}()
-	return ln.Addr().String()
+	return standin.Serve(t, func(c net.Conn) { _, _ = io.Copy(io.Discard, c) })
 }
 
-type discard struct{}
-
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
-// The former process still holds the port: the next one waits for it, says so, and
-// serves as soon as it is free.
-func TestPortStillHeld(t *testing.T) {
-	addr := ownAddress()
+// launchBehind starts the program while its port is held, and waits until it says so.
+func launchBehind(t *testing.T) (addr string, former net.Listener, p *process) {
+	t.Helper()
+	addr = ownAddress()
 	former, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer former.Close()
+	t.Cleanup(func() { former.Close() })
 	_, config := surroundings(t, addr)
-	p := launch(t, config)
+	p = launch(t, config)
 	p.says("another process holds the address")
+	return addr, former, p
+}
+
+// The former process still holds the port: the next one waits for it, says so, and
+// serves as soon as it is free.
+func TestPortStillHeld(t *testing.T) {
+	addr, former, p := launchBehind(t)
 	former.Close()
 	p.says("worker pool bound")
 	d := standin.Dial(t, addr)
@@ -151,15 +144,7 @@
 
 // The notice comes before the node listens: it leaves at once, in order.
 func TestNoticeBeforeListening(t *testing.T) {
-	addr := ownAddress()
-	former, err := net.Listen("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer former.Close()
-	_, config := surroundings(t, addr)
-	p := launch(t, config)
-	p.says("another process holds the address")
+	_, _, p := launchBehind(t)
 	p.signal(syscall.SIGTERM)
 	p.leaves(3 * time.Second) // a program built to find races stays a second longer
 	p.says("notice to leave before anything listened")
--- a/internal/dependency/dependency_test.go
+++ b/internal/dependency/dependency_test.go
@@ -21,34 +21,23 @@
 // error keep it waiting, an error resets the connection.
 func database(t *testing.T, answer func(q *http.Request, statement string) (text string, reset bool)) string {
 	t.Helper()
-	ln := standin.Listen(t)
-	go func() {
-		for {
-			c, err := ln.Accept()
+	return standin.Serve(t, func(c net.Conn) {
+		for rd := bufio.NewReader(c); ; {
+			q, err := http.ReadRequest(rd)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				for rd := bufio.NewReader(c); ; {
-					q, err := http.ReadRequest(rd)
-					if err != nil {
-						return
-					}
-					statement, _ := io.ReadAll(q.Body)
-					text, reset := answer(q, string(statement))
-					if _, err := io.WriteString(c, text); err != nil {
-						return
-					}
-					if reset {
-						c.(*net.TCPConn).SetLinger(0)
-						return
-					}
-				}
-			}()
+			statement, _ := io.ReadAll(q.Body)
+			text, reset := answer(q, string(statement))
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+			if reset {
+				c.(*net.TCPConn).SetLinger(0)
+				return
+			}
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 type result struct {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -41,6 +41,26 @@
 	return ln
 }
 
+// Serve takes connections on loopback for the test, each by itself, and closes it
+// once do returns.
+func Serve(t *testing.T, do func(net.Conn)) (addr string) {
+	t.Helper()
+	ln := Listen(t)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				do(c)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // Away takes an address on loopback at which nobody listens until open is
 // called. The port is held meanwhile, so that no other test can take it.
 func Away(t *testing.T) (addr string, open func() net.Listener) {
