Tests of intents hold the disk still while they look whether work ran too early

Change: both hold every operation on the disk from before the send until they have looked; the check is as strict, and no longer hangs on the order of two goroutines.

--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -91,6 +91,13 @@
 	return len(l.answers[x.Tag]) > 0
 }
 
+// hold lets no operation on the disk begin until the function it returns is called.
+func hold(disk *vfs.Mem) (release func()) {
+	let := make(chan struct{})
+	disk.Fail(func(vfs.Op) error { <-let; return nil })
+	return func() { close(let); disk.Fail(nil) }
+}
+
 // The node is cut off at every operation on its disk, and inside each write at
 // every byte, while a keyed request runs and is answered. Whatever the next life
 // finds, the request never runs again once it may have, and once it was answered
@@ -99,8 +106,11 @@
 	disk := vfs.NewMem(true)
 	a := live(t, disk, 1000, time.Hour, nil)
 	began := disk.Ops()
+	release := hold(disk)
 	x := a.send(1, key("k"))
-	if a.ran(x) {
+	ranEarly := a.ran(x)
+	release()
+	if ranEarly {
 		t.Fatal("it ran before its intent was durable")
 	}
 	a.until("the run", func() bool { return a.ran(x) })
@@ -330,8 +340,11 @@
 	set := func(r *config.Results, _ *rules.Settings) { r.Unsafe = true }
 	disk := vfs.NewMem(false)
 	a := live(t, disk, 1000, time.Hour, set)
+	release := hold(disk)
 	x := a.send(2, nil)
-	if a.ran(x) {
+	ranEarly := a.ran(x)
+	release()
+	if ranEarly {
 		t.Error("it ran before its intent was written")
 	}
 	a.until("the run", func() bool { return a.ran(x) })
