Only a tenant's excess over its quota is marked, counted for each node

Change: an allowance a tenant, filled by the quota over the nodes of the tier, 5 s of it saved, 1.1 of it granted for uneven traffic; a request takes one as it comes and gives it back if it never ran. Two tuned values go, two come, with units: the share of arrivals is no longer learned. No quota in the settings: nobody is over it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -51,8 +51,8 @@
 	baseDrift     = 1.002                  // the base creeps up so that one lucky run is forgotten
 	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
 	stallMin      = 800 * time.Millisecond // and at least this long
-	tenantAlpha   = 0.01                   // weight of a request in its tenant's share of arrivals
-	tenantOver    = 1.5                    // times its share that a tenant may send: traffic is uneven
+	quotaSlack    = 1.1                    // of a node's part of a quota: callers spread unevenly
+	quotaSpan     = 5 * time.Second        // of a quota is saved at most: one node sees uneven traffic
 	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
 	pressureDown  = 0.02                   // pressure lost per say without refusals
 	pressureIdle  = 0.6                    // of the pressure stays a say while slots are free
@@ -100,7 +100,7 @@
 	answered bool          // its final answer is out; its run may go on
 	halted   bool          // told to stop after its answer
 	over     bool          // nothing is left of it
-	overdue  bool          // beyond its tenant's share
+	overdue  bool          // beyond its tenant's quota
 	arrived  time.Duration // at the machine
 	aim      time.Duration // an answer later than this is worth little
 	started  time.Duration // its last run
@@ -137,6 +137,12 @@
 	ran, freed bool
 }
 
+// allowance is what is left of this node's part of a tenant's quota, in requests.
+type allowance struct {
+	left float64
+	at   time.Duration
+}
+
 // Module decides for one node.
 type Module struct {
 	set  Settings
@@ -170,7 +176,7 @@
 
 	cpuBusy, runnable float64 // gauges, -1 = not told
 
-	sent []float64 // smoothed share of arrivals per tenant
+	quota []allowance // per tenant
 
 	entries map[RequestID]*entry
 
@@ -226,7 +232,7 @@
 		maxWait: time.Duration(waitShare * float64(shortest)),
 		byID:    map[RequestID]*request{}, entries: map[RequestID]*entry{},
 		runs: make([]pace, len(set.Classes)), hints: make([]float64, len(set.Classes)),
-		sent: make([]float64, len(set.Tenants)), cpuBusy: -1, runnable: -1,
+		quota: make([]allowance, len(set.Tenants)), cpuBusy: -1, runnable: -1,
 		lastFrom: map[uint32]time.Duration{},
 		callSeen: now, stepped: now, saidAt: now, said: -1, healthy: true,
 		stopAt: math.MaxInt64, quick: min(float64(shortest)/float64(usualAim), 1),
@@ -381,20 +387,21 @@
 
 func (m *Module) keyMemory() float64 { return float64(len(m.entries)) * m.set.EntryKB }
 
-// overShare reports whether a request's tenant sends far more than its share of
-// what comes here. It only marks: the mark counts where something must be lost.
+// overShare reports whether a request's tenant sends more than this node's part of its quota. What
+// the quota yields with time goes to its requests as they come, and back from those that never ran.
+// It only marks: the mark counts where something must be lost.
 func (m *Module) overShare(r *request) bool {
-	if r.Tenant < 0 || r.Tenant >= len(m.sent) || r.Retry {
+	if r.Tenant < 0 || r.Tenant >= len(m.quota) {
 		return false
 	}
-	total := 0.0
-	for i := range m.sent {
-		m.sent[i] *= 1 - tenantAlpha
-		total += m.sent[i]
+	rate := quotaSlack * m.set.Tenants[r.Tenant].QuotaPerSecond / float64(max(m.set.Nodes, 1))
+	q := &m.quota[r.Tenant]
+	q.left = min(q.left+rate*(m.now-q.at).Seconds(), 1+rate*quotaSpan.Seconds())
+	if q.at = m.now; rate > 0 && q.left < 1 {
+		return true
 	}
-	m.sent[r.Tenant] += tenantAlpha
-	limit := tenantOver * m.set.Tenants[r.Tenant].Share
-	return limit > 0 && total > 0.5 && m.sent[r.Tenant] > limit
+	q.left--
+	return false
 }
 
 // ---- hold ----
@@ -1007,6 +1014,9 @@
 	m.line = slices.DeleteFunc(m.line, func(o *request) bool { return o == r })
 	m.memory -= r.KB
 	r.over = true
+	if !r.ran && !r.overdue && r.Tenant >= 0 && r.Tenant < len(m.quota) {
+		m.quota[r.Tenant].left++
+	}
 	delete(m.byID, r.ID)
 }
 
