What is too old when it is read counts as pressure

The assumption was that reading is nearly free.

Change: every refusal of held work counts as overflow.

TestTooOldWhenReadIsPressure fails without it (pressure 0 where over 0.3 is wanted).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -981,6 +981,7 @@
 		}
 		switch {
 		case r.state == held && (late || m.tooOld(r)):
+			m.overflow++
 			m.turnAway(r, late || m.forlorn(r) || m.now > r.old && m.endsWalk(r, true))
 		case late:
 			m.giveUp(r)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -850,6 +850,23 @@
 	}
 }
 
+// What is too old when it is read is pressure as what finds a full line: a node that only
+// reads what waited too long unread refuses as much, and would say that it has room.
+func TestTooOldWhenReadIsPressure(t *testing.T) {
+	for _, age := range []time.Duration{0, 1100 * ms} {
+		b := newBed(t, nil)
+		for range 20 {
+			id := b.arrive(0, func(q *Request) { q.Age = age })
+			b.settle()
+			b.m.Ended(b.now, id, OK, 5*ms)
+			b.pass(50*ms, 1, 1)
+		}
+		if pressure := b.m.pressure > 0.3; pressure != (age > 0) {
+			t.Errorf("read at an age of %v: pressure %v", age, b.m.pressure)
+		}
+	}
+}
+
 func TestStaleFadesOnlyWithoutReads(t *testing.T) {
 	for name, reads := range map[string]bool{"with reads": true, "without": false} {
 		b := newBed(t, nil)
