Where retries are not marked, walks end at the pressure of marked ones

The lower threshold was for marked retries alone, so there it never acted: the assumption was that retries are marked, or that only balancers retry.

Change: without marks any request may be a retry, and ends its walk from pressure 0.3.

Case in TestWalksEndUnderLastingOverflow, red without it.

--- a/rules/replay_test.go
+++ b/rules/replay_test.go
@@ -27,15 +27,15 @@
 			return 1500
 		}
 		return 0
-	}, Work: machine.Always(4 * time.Millisecond)}), "ad3dc3625b7a8d043888790b"},
+	}, Work: machine.Always(4 * time.Millisecond)}), "b0e00fd349cfe8c3fa8302d4"},
 	"cold": {4, func(s *rules.Settings, _ *machine.Options) { s.Cold, s.Ramp, s.ColdFrom = true, 4*time.Second, 0.3 }, mix(1.1), "7ed557ef50884b01615ca08f"},
 	"hang": {5, func(_ *rules.Settings, o *machine.Options) {
 		o.Hangs = func(at time.Duration, _ int) bool { return at > 3*time.Second && at < 5*time.Second }
-	}, mix(0.9), "bf3330dd3cca1e9d17c64788"},
+	}, mix(0.9), "f1ba4abb2606e5634ea43f62"},
 	"drain":     {6, func(_ *rules.Settings, o *machine.Options) { o.Drain = 5 * time.Second; o.Length = 9 * time.Second }, mix(1.0), "b3728183a2ee973cf42925cb"},
 	"unsafe":    {7, func(s *rules.Settings, _ *machine.Options) { s.Classes[1].Effect = rules.Unsafe }, mix(1.3), "727c0fe87090e273c7a47f42"},
-	"by work":   {8, func(s *rules.Settings, _ *machine.Options) { s.WorthByWork = true }, mix(1.3), "35592cd33fcf26aca46f5f54"},
-	"two cores": {9, func(s *rules.Settings, _ *machine.Options) { s.Cores = 2 }, mix(0.65), "9aed58b50158de8ed060e80d"},
+	"by work":   {8, func(s *rules.Settings, _ *machine.Options) { s.WorthByWork = true }, mix(1.3), "841b9bda79aa0b850843a270"},
+	"two cores": {9, func(s *rules.Settings, _ *machine.Options) { s.Cores = 2 }, mix(0.65), "211198de2695454d14c72a22"},
 }
 
 // mix is a mix of three classes that takes a share of four cores.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -505,7 +505,7 @@
 
 // endsWalk reports whether a refused request is to try no other node; old: it was held too long here.
 func (m *Module) endsWalk(r *request, old bool) bool {
-	alone := old || m.pressure > lastAll || m.pressure > lastRetry && r.Retry
+	alone := old || m.pressure > lastAll || m.pressure > lastRetry && (r.Retry || !m.set.MarksRetries)
 	return m.together == nil && alone || m.together != nil && m.together.EndsWalk(m.now, m.price(r))
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -831,14 +831,17 @@
 	for name, tc := range map[string]struct {
 		pressure float64
 		retry    bool
+		unmarked bool
 		last     bool
 	}{
-		"a passing overflow":               {0.1, true, false},
-		"a retry under lasting overflow":   {0.4, true, true},
-		"a first try under the same":       {0.4, false, false},
-		"a first try under heavy overflow": {0.7, false, true},
+		"a passing overflow":               {0.1, true, false, false},
+		"a retry under lasting overflow":   {0.4, true, false, true},
+		"a first try under the same":       {0.4, false, false, false},
+		"what may be a retry":              {0.4, false, true, true},
+		"a first try under heavy overflow": {0.7, false, false, true},
+		"unmarked, a passing overflow":     {0.1, false, true, false},
 	} {
-		b := newBed(t, nil)
+		b := newBed(t, func(s *Settings) { s.MarksRetries = !tc.unmarked })
 		b.m.pressure = tc.pressure
 		for range 12 {
 			b.arrive(0, func(q *Request) { q.Retry = tc.retry })
