Walks go on while hardly any marked retries come here: the others have room

Of 650 refusals in three seconds 580 ended their walk, at nodes full by hot keys, while only 7% of what the fleet reads is a marked retry (counts on a scratch copy). The assumption was that a node in lasting overflow is in a full fleet.

Change: the share of marked retries in what is read, over fifty requests. Under a tenth, neither pressure nor age ends a walk; what no base run could serve in time still ends. Where retries are not marked nothing changes.

Also covers a slow node, or one that callers crowd, in a calm fleet. It could do harm where nobody walks by habit while the whole fleet is full: then few marked retries come, but then no walk is there to end.

Three tests, red without it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -62,6 +62,8 @@
 	minAdvice     = 50 * time.Millisecond  // shortest retry-after: about a beat and a round trip
 	lastRetry     = 0.3                    // pressure from which an overflowing retry is to try no other node
 	lastAll       = 0.6                    // and any overflowing request: a walk in a large fleet is ten reads
+	againFew      = 0.1                    // share of marked retries under which the others have room
+	againAlpha    = 0.02                   // weight of a request in that share: fifty requests
 	callBuckets   = 25                     // steps of the sliding mean of calls
 	staleAge      = 0.5                    // of the aim gone before reading makes a request stale
 	staleAlpha    = 0.3                    // weight of a request in the stale share: a slow small node reads few
@@ -191,6 +193,7 @@
 	wakeAt, stepped, saidAt time.Duration
 	read, overflow          int // since the last say
 	pressure, said          float64
+	again                   float64 // share of marked retries in what is read
 	healthy                 bool
 	stale                   float64 // share of requests that were old when read
 
@@ -255,6 +258,10 @@
 func (m *Module) Arrive(now time.Duration, q Request) {
 	m.now = now
 	m.read++
+	m.again -= againAlpha * m.again
+	if q.Retry {
+		m.again += againAlpha
+	}
 	r := &request{Request: q, arrived: now - q.Age}
 	m.byID[q.ID] = r
 	m.all = append(m.all, r)
@@ -504,8 +511,10 @@
 }
 
 // endsWalk reports whether a refused request is to try no other node; old: it was held too long here.
+// Where walks are marked and few come here, the others have room and this node alone is short of it.
 func (m *Module) endsWalk(r *request, old bool) bool {
-	alone := old || m.pressure > lastAll || m.pressure > lastRetry && (r.Retry || !m.set.MarksRetries)
+	room := m.set.MarksRetries && m.again < againFew
+	alone := !room && (old || m.pressure > lastAll || m.pressure > lastRetry && (r.Retry || !m.set.MarksRetries))
 	return m.together == nil && alone || m.together != nil && m.together.EndsWalk(m.now, m.price(r))
 }
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -832,17 +832,19 @@
 		pressure float64
 		retry    bool
 		unmarked bool
+		again    float64 // share of marked retries read before
 		last     bool
 	}{
-		"a passing overflow":               {0.1, true, false, false},
-		"a retry under lasting overflow":   {0.4, true, false, true},
-		"a first try under the same":       {0.4, false, false, false},
-		"what may be a retry":              {0.4, false, true, true},
-		"a first try under heavy overflow": {0.7, false, false, true},
-		"unmarked, a passing overflow":     {0.1, false, true, false},
+		"a passing overflow":               {0.1, true, false, 0.3, false},
+		"a retry under lasting overflow":   {0.4, true, false, 0.3, true},
+		"a first try under the same":       {0.4, false, false, 0.3, false},
+		"what may be a retry":              {0.4, false, true, 0, true},
+		"a first try under heavy overflow": {0.7, false, false, 0.3, true},
+		"this node alone is in overflow":   {0.7, false, false, 0.02, false},
+		"unmarked, a passing overflow":     {0.1, false, true, 0, false},
 	} {
 		b := newBed(t, func(s *Settings) { s.MarksRetries = !tc.unmarked })
-		b.m.pressure = tc.pressure
+		b.m.pressure, b.m.again = tc.pressure, tc.again
 		for range 12 {
 			b.arrive(0, func(q *Request) { q.Retry = tc.retry })
 		}
@@ -1111,13 +1113,39 @@
 }
 
 // What has waited past its age limit has used up what a walk to other nodes would
-// take: it is told to try no other, however fast one might be.
+// take: it is told to try no other, however fast one might be. Where walks are marked
+// and hardly any come here, the others have room, and it may go there while it can be
+// served: a node that hot keys fill is no sign of a full fleet.
 func TestAgedOutTriesNoOther(t *testing.T) {
-	b := newBed(t, nil)
-	b.arrive(3, nil)
-	b.arrive(3, nil) // both cores busy
-	b.settle()
-	a := b.arrive(0, nil)
-	b.pass(1100*ms, 1, 9) // 0.12 of 8 s, with time left for a run
-	b.want(fmt.Sprint("refuse ", a), fmt.Sprint("last ", a))
+	for name, tc := range map[string]struct {
+		marks bool
+		again float64
+		last  bool
+	}{"unmarked": {false, 0, true}, "many walk": {true, 0.3, true}, "few walk": {true, 0.02, false}} {
+		b := newBed(t, func(s *Settings) { s.MarksRetries = tc.marks })
+		b.arrive(3, nil)
+		b.arrive(3, nil) // both cores busy
+		b.settle()
+		a := b.arrive(0, nil)
+		b.m.again = tc.again
+		b.pass(1100*ms, 1, 9) // 0.12 of 8 s, with time left for a run
+		b.want(fmt.Sprint("refuse ", a))
+		if last := b.last[fmt.Sprint("last ", a)]; last != tc.last {
+			t.Errorf("%s: last %v", name, last)
+		}
+	}
+}
+
+// Half a minute of reads tells how many of them are further tries.
+func TestShareOfFurtherTries(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.MarksRetries = true })
+	for i := range 400 {
+		id := b.arrive(0, func(q *Request) { q.Retry = i%4 == 0 })
+		b.settle()
+		b.m.Ended(b.now, id, OK, 5*ms)
+		b.settle()
+	}
+	if b.m.again < 0.2 || b.m.again > 0.3 {
+		t.Errorf("one in four: %v", b.m.again)
+	}
 }
