Keys given back count no longer as memory; a start without effect gives its key back

Lines at fault: release marked an entry freed and told the host to forget it, but keyMemory went by len(entries), freed ones included, until their window was over; in overload most entries are of refused requests. On the real node the same let strangers' keyed requests fill the memory for a window: their start ends Moot, and the entry stayed.

Change: freed entries are counted apart; Ended with Moot of a keyed request, whose only start took no effect, releases its entry. An entry that may have run is never given back, so the rule on duplicates is as it was: the test goes on to a run, its repeat and the Reuse.

TestForgottenKeysTakeNoMemory fails without it (15 entries take 4,500 kB where four are kept).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -181,6 +181,7 @@
 	quota []allowance // per tenant
 
 	entries map[RequestID]*entry
+	freed   int // of them that hold no memory any more
 
 	callBudget float64              // seconds of calls a window, of this node's share
 	callLimit  float64              // calls this node may have out
@@ -392,7 +393,7 @@
 	m.entries[id] = &entry{expires: now + span, ran: true}
 }
 
-func (m *Module) keyMemory() float64 { return float64(len(m.entries)) * m.set.EntryKB }
+func (m *Module) keyMemory() float64 { return float64(len(m.entries)-m.freed) * m.set.EntryKB }
 
 // overShare reports whether a request's tenant sends more than this node's part of its quota. What
 // the quota yields with time goes to its requests as they come, and back from those that never ran.
@@ -847,6 +848,10 @@
 		}
 		return
 	}
+	if e := m.entries[id]; e != nil && o == Moot && m.class(r).Effect == Keyed { // its only start took no effect
+		e.ran = false
+		m.release(r)
+	}
 	m.drop(r)
 }
 
@@ -913,8 +918,9 @@
 
 // release frees the key of a request that will never run.
 func (m *Module) release(r *request) {
-	if e := m.entries[r.ID]; e != nil && !e.ran {
+	if e := m.entries[r.ID]; e != nil && !e.ran && !e.freed {
 		e.freed = true
+		m.freed++
 		m.host.Forget(r.ID)
 	}
 }
@@ -1092,7 +1098,12 @@
 
 // say sets the free value and the health that callers are told.
 func (m *Module) say() {
-	maps.DeleteFunc(m.entries, func(_ RequestID, e *entry) bool { return e.expires < m.now })
+	maps.DeleteFunc(m.entries, func(_ RequestID, e *entry) bool {
+		if e.expires < m.now && e.freed {
+			m.freed--
+		}
+		return e.expires < m.now
+	})
 	old := m.now - idleShortest<<idleSteps
 	maps.DeleteFunc(m.lastFrom, func(_ uint32, at time.Duration) bool { return at < old })
 	m.closeIdle()
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -1154,3 +1155,45 @@
 		t.Errorf("one in four: %v", b.m.again)
 	}
 }
+
+// The memory of keys counts what is kept, not what was given back: requests that were turned
+// away, and one whose only start took no effect, leave room for others at once.
+func TestForgottenKeysTakeNoMemory(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.MemoryKB, s.RunFactor, s.EntryKB = 10000, 1, 300 }) // keys may take 4,500
+	keyed := func(q *Request) { q.KB = 1 }
+	for range 3 { // both cores busy, a full line, and 30 that come too much
+		for range 10 {
+			b.arrive(2, keyed)
+			b.settle()
+		}
+		b.pass(200*ms, 1, 5)
+	}
+	if kept := b.m.keyMemory(); kept == 0 || kept > 4*300 { // two run, two are held
+		t.Fatalf("%d entries take %v kB", len(b.m.entries), kept)
+	}
+	for _, r := range slices.Clone(b.m.all) {
+		b.m.Ended(b.now, r.ID, OK, 5*ms)
+	}
+	b.settle()
+	b.pass(5*time.Second+100*ms, 0, 0) // the windows of those that ran are over
+	if len(b.m.entries) != 0 || b.m.keyMemory() != 0 {
+		t.Errorf("%d entries are left and take %v kB", len(b.m.entries), b.m.keyMemory())
+	}
+	a := b.arrive(2, keyed)
+	b.settle()
+	b.want(fmt.Sprint("run ", a))
+	b.m.Ended(b.now, a, Moot, 0)
+	b.want(fmt.Sprint("forget ", a))
+	if again := b.m.keyMemory(); again != 0 {
+		t.Errorf("a start without effect keeps %v kB", again)
+	}
+	c := b.arrive(2, keyed)
+	b.settle()
+	b.want(fmt.Sprint("run ", c))
+	b.m.Ended(b.now, c, OK, 5*ms)
+	b.wantNot(fmt.Sprint("forget ", c))
+	d := b.arrive(2, func(q *Request) { q.Earlier = c; q.KB = 1 })
+	b.settle()
+	b.want(fmt.Sprint("reuse ", d))
+	b.wantNot(fmt.Sprint("run ", d), fmt.Sprint("refuse ", d))
+}
