What never ran keeps its part of the quota, and marked retries take nothing of it

A refused request gave its part back, and the next to come took it: from a tenant that sends ten times its quota it always comes, so that its served quota filled up while the others, with one request for each part, lost a third.

Change: a first try takes its part for good, so that what is within quotas is refused alike whoever sends it; a marked retry takes none and is beyond while nothing is left.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -395,9 +395,9 @@
 
 func (m *Module) keyMemory() float64 { return float64(len(m.entries)-m.freed) * m.set.EntryKB }
 
-// overShare reports whether a request's tenant sends more than this node's part of its quota. What
-// the quota yields with time goes to its requests as they come, and back from those that never ran.
-// It only marks: the mark counts where something must be lost.
+// overShare reports whether a request's tenant sends more than this node's part of its quota. What the
+// quota yields with time goes to first tries as they come, whatever becomes of them: who sends far more
+// would else have the next one in its place. It only marks: the mark counts where something must be lost.
 func (m *Module) overShare(r *request) bool {
 	if r.Tenant < 0 || r.Tenant >= len(m.quota) {
 		return false
@@ -405,8 +405,8 @@
 	rate := m.set.Tenants[r.Tenant].QuotaPerSecond / float64(max(m.set.Nodes, 1))
 	q := &m.quota[r.Tenant]
 	q.left = min(q.left+rate*(m.now-q.at).Seconds(), max(rate*quotaSpan.Seconds(), quotaSaved))
-	if q.at = m.now; rate > 0 && q.left < 1 {
-		return true
+	if q.at = m.now; r.Retry || rate > 0 && q.left < 1 {
+		return rate > 0 && q.left < 1
 	}
 	q.left--
 	return false
@@ -1030,9 +1030,6 @@
 	m.line = slices.DeleteFunc(m.line, func(o *request) bool { return o == r })
 	m.memory -= r.KB
 	r.over = true
-	if !r.ran && !r.overdue && r.Tenant >= 0 && r.Tenant < len(m.quota) {
-		m.quota[r.Tenant].left++
-	}
 	delete(m.byID, r.ID)
 }
 
