What is beyond a quota is refused as it comes while overflow lasts

Change: from pressure 0.2 and with the cores taken, such a request is refused at once and asked to try no other node; the mark needs, besides an empty allowance, over 1.2 times the tenant's share of what comes here. A repeat of work that may have run is not touched.

Covers a tenant's burst, a hot caller of one tenant, a tenant that always sends too much. It could do harm where quotas are told too small for what the fleet can do: then from pressure 0.2 on some cores wait a beat for what is within.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -51,6 +51,8 @@
 	baseDrift     = 1.002                  // the base creeps up so that one lucky run is forgotten
 	stallGaps     = 10.0                   // usual gaps without progress that count as a stall
 	stallMin      = 800 * time.Millisecond // and at least this long
+	tenantAlpha   = 0.01                   // weight of a request in its tenant's part of arrivals
+	tenantOver    = 1.2                    // times its share that may come here: chance moves a hundred so far
 	quotaSpan     = 5 * time.Second        // of a quota is saved at most: one node sees uneven traffic
 	quotaSaved    = 12.0                   // requests are, where that is less: chance alone moves so few
 	pressureUp    = 0.25                   // pressure gained per say for a full share of refusals
@@ -139,10 +141,10 @@
 	ran, freed bool
 }
 
-// allowance is what is left of this node's part of a tenant's quota, in requests.
+// allowance is what is left of this node's part of a tenant's quota, in requests, and its part of arrivals.
 type allowance struct {
-	left float64
-	at   time.Duration
+	left, sent float64
+	at         time.Duration
 }
 
 // Module decides for one node.
@@ -286,6 +288,13 @@
 		m.together.Arrived(now, m.value(r), m.price(r), r.Retry)
 	}
 	late := m.draining && r.arrived > m.notice+m.set.DrainGrace-m.margin() // it must not run any more
+	// What is beyond a quota would keep a core from what comes next and is within.
+	beyond := r.overdue && r.Earlier == 0 && m.pressure > worthFrom && m.onCores >= m.set.Cores
+	if beyond && !late {
+		m.overflow++
+		m.turnAway(r, true)
+		return
+	}
 	if late || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
 		m.turnAway(r, false)
 		return
@@ -395,18 +404,31 @@
 
 func (m *Module) keyMemory() float64 { return float64(len(m.entries)-m.freed) * m.set.EntryKB }
 
-// overShare reports whether a request's tenant sends more than this node's part of its quota. What the
-// quota yields with time goes to first tries as they come, whatever becomes of them: who sends far more
-// would else have the next one in its place. It only marks: the mark counts where something must be lost.
+// overShare reports whether a request's tenant sends more than this node's part of its quota, and more of
+// what comes here than its share: a node that hot keys or few callers fill sees all of them beyond. What
+// the quota yields with time goes to first tries as they come, whatever becomes of them: who sends far more
+// would else have the next one in its place.
 func (m *Module) overShare(r *request) bool {
 	if r.Tenant < 0 || r.Tenant >= len(m.quota) {
 		return false
 	}
-	rate := m.set.Tenants[r.Tenant].QuotaPerSecond / float64(max(m.set.Nodes, 1))
-	q := &m.quota[r.Tenant]
+	total := 0.0
+	for i := range m.quota {
+		if q := &m.quota[i]; !r.Retry {
+			q.sent -= tenantAlpha * q.sent
+		}
+		total += m.quota[i].sent
+	}
+	q, t := &m.quota[r.Tenant], m.set.Tenants[r.Tenant]
+	rate := t.QuotaPerSecond / float64(max(m.set.Nodes, 1))
 	q.left = min(q.left+rate*(m.now-q.at).Seconds(), max(rate*quotaSpan.Seconds(), quotaSaved))
-	if q.at = m.now; r.Retry || rate > 0 && q.left < 1 {
-		return rate > 0 && q.left < 1
+	q.at = m.now
+	if !r.Retry {
+		q.sent += tenantAlpha
+		total += tenantAlpha
+	}
+	if r.Retry || rate > 0 && q.left < 1 {
+		return rate > 0 && q.left < 1 && q.sent > tenantOver*t.Share*total
 	}
 	q.left--
 	return false
