Bad settings end node and simulator host alike, in one line that names them

Need: a setting that is missing, contradictory or out of range is refused before serving, never guessed at in a way that loosens a rule. Seen in the code: a shared dependency without callShare had no bound on its calls at all, a missing runFactor or entryKb let memory go uncounted, a cold node without rampTimeMs counted as warm, a deduplicated class without windowMs remembered nothing for longer than two ticks.

Change: internal/settings checks ranges and contradictions where both hosts parse; what the wire leaves open and only makes the module stricter is not asked for. simhost tells the simulator by InternalError as before, then ends with status 1 in place of serving on with the rest of its instances: TestUnusableSettingsAreAnInternalError, which wanted the rest to go on, gives way to TestUnusableSettingsEndTheProcess, as strict on the answer and on the error.

--- a/cmd/simhost/fleet.go
+++ b/cmd/simhost/fleet.go
@@ -32,6 +32,7 @@
 	nodes map[uint16]*instance
 	order []*instance // touched in this batch, in order
 	reply simwire.Reply
+	bad   error // settings that can't be served
 }
 
 func newFleet(own *config.Config) *fleet {
@@ -115,9 +116,12 @@
 			err = settings.UsePools(&set, names, f.own)
 		}
 		if err != nil {
+			f.bad = fmt.Errorf("instance %d: %w", who, err)
 			return err
 		}
-		n.module, err = rules.New(b.Clock, set, rec.U64(1), &host{&n.actions})
+		if n.module, err = rules.New(b.Clock, set, rec.U64(1), &host{&n.actions}); err != nil {
+			f.bad = fmt.Errorf("instance %d: %w", who, err)
+		}
 		return err
 	})
 	return nil
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -49,7 +49,7 @@
 	return 0
 }
 
-// serve answers batches until the input ends between two frames.
+// serve answers batches until the input ends between two frames or settings can't be served.
 func serve(own *config.Config, in io.Reader, out io.Writer) error {
 	r := bufio.NewReaderSize(in, 1<<20)
 	f := newFleet(own)
@@ -70,5 +70,8 @@
 		if _, err := reply.WriteTo(out); err != nil {
 			return err
 		}
+		if f.bad != nil { // the simulator has been told, and nothing was served
+			return f.bad
+		}
 	}
 }
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -27,8 +27,13 @@
 	return rec(simwire.EvAt, func(r []byte) { binary.BigEndian.PutUint16(r[1:], who) })
 }
 
-func enlist(n int) []byte {
-	return rec(simwire.EvEnlist, func(r []byte) { binary.BigEndian.PutUint32(r[13:], uint32(n)) })
+func enlist(n int) []byte { return enlistAt(0, n) }
+
+func enlistAt(offset, n int) []byte {
+	return rec(simwire.EvEnlist, func(r []byte) {
+		binary.BigEndian.PutUint32(r[9:], uint32(offset))
+		binary.BigEndian.PutUint32(r[13:], uint32(n))
+	})
 }
 
 func demandOf(id uint64) []byte {
@@ -105,19 +110,24 @@
 	}
 }
 
-func TestUnusableSettingsAreAnInternalError(t *testing.T) {
-	good := frame(12, env, at(1), enlist(len(env)), at(2), enlist(0))
-	in := append(good, frame(14, "", at(2), demandOf(5), at(1), demandOf(6))...)
-	var out bytes.Buffer
-	if err := serve(config.Defaults(), bytes.NewReader(in), &out); err != nil {
-		t.Fatal(err)
-	}
-	got := codes(t, out.Bytes())
-	if last := got[0][len(got[0])-1]; last != simwire.AcInternalError {
-		t.Errorf("bad settings answered with %v", got[0])
-	}
-	if !bytes.Equal(got[1], []byte{simwire.AcContext, simwire.AcLaunch}) {
-		t.Errorf("after it: %v, want the other instance to go on alone", got[1])
+// Settings that can't be served are told to the simulator, with every other answer of the
+// batch, and end the process with an error that names them: nothing is served by half a fleet.
+func TestUnusableSettingsEndTheProcess(t *testing.T) {
+	for name, c := range map[string]struct{ env, want string }{
+		"no text":        {"", "instance 2: settings: unexpected end of JSON input"},
+		"nothing to run": {`{"extra": {"cpus": 0}}`, "instance 2: setting extra.cpus: 0 is missing"},
+	} {
+		in := frame(12, env+c.env, at(1), enlist(len(env)), at(2), enlistAt(len(env), len(c.env)))
+		in = append(in, frame(14, "", at(1), demandOf(6))...)
+		var out bytes.Buffer
+		err := serve(config.Defaults(), bytes.NewReader(in), &out)
+		if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want %q", name, err, c.want)
+		}
+		got := codes(t, out.Bytes())
+		if len(got) != 1 || got[0][len(got[0])-1] != simwire.AcInternalError {
+			t.Errorf("%s: answered with %v", name, got)
+		}
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -130,6 +130,9 @@
 	if err := json.Unmarshal(text, &j); err != nil {
 		return rules.Settings{}, fmt.Errorf("settings: %w", err)
 	}
+	if err := j.check(); err != nil {
+		return rules.Settings{}, err
+	}
 	x, o := j.Extra, j.Obligations
 	s := rules.Settings{
 		Tick: duration(j.TickMs), Cores: x.CPUs, Nodes: j.GroupSize, Callers: x.Upstreams,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -12,8 +13,8 @@
 		"bounds": {"maxRetryAfterMs": 1000.0, "retryAfter": true},
 		"lanes": [{"aimMs": 2500, "deadlineMs": 7900, "effect": "deduplicated", "windowMs": 5000, "worth": 2},
 		          {"deadlineMs": 100, "effect": "at_most_once"}, {"deadlineMs": 100, "effect": "idempotent"}],
-		"parties": [{"quotaRps": 43, "share": 0.5}],
-		"extra": {"below": "shared", "callShare": 0.7, "classCalls": [true], "classSkipWorth": [0.3], "cpus": 6,
+		"parties": [{"quotaRps": 43, "share": 0.5}], "obligations": {"fallMultiple": 4},
+		"extra": {"below": "shared", "callShare": 0.7, "callsOverMs": 5000, "runFactor": 4, "entryKb": 3, "classCalls": [true], "classSkipWorth": [0.3], "cpus": 6,
 		          "say": "credit", "preemption": "pause", "meters": ["cpu_busy", "odd"], "ramKb": 61302}}`))
 	if err != nil {
 		t.Fatal(err)
@@ -39,3 +40,53 @@
 		}
 	}
 }
+
+// usable is what a node needs at least, with one of each that a rule asks something of.
+const usable = `{"tickMs": 2, "bounds": {"maxRetryAfterMs": 1000},
+	"lanes": [{"deadlineMs": 900, "effect": "idempotent"}, {"deadlineMs": 900, "effect": "deduplicated", "windowMs": 500}],
+	"parties": [{"quotaRps": 4, "share": 0.5}],
+	"extra": {"cpus": 2, "ramKb": 5000, "runFactor": 4, "entryKb": 3, "below": "shared", "callShare": 0.5, "callsOverMs": 5000,
+	          "classCalls": [true], "classSkipWorth": [0.5], "justStarted": true},
+	"obligations": {"fallMultiple": 4, "rampTimeMs": 9000, "coldFrom": 0.3}}`
+
+// Each bad setting is refused in one line that names it; none is replaced by a guess that
+// would loosen a rule.
+func TestBadSettingsAreNamed(t *testing.T) {
+	if _, err := Parse([]byte(usable)); err != nil {
+		t.Fatal(err)
+	}
+	for key, change := range map[string][2]string{
+		"tickMs":                        {`"tickMs": 2`, `"tickMs": -2`},
+		"bounds.maxRetryAfterMs":        {`: 1000`, `: -1`},
+		"lanes: missing":                {`"lanes"`, `"lane"`},
+		"lanes[0].deadlineMs":           {`{"deadlineMs": 900, "effect": "i`, `{"effect": "i`},
+		"lanes[1].windowMs: missing":    {`"windowMs": 500`, `"windowMs": 0`},
+		"lanes[1].windowMs: -1":         {`"windowMs": 500`, `"windowMs": -1`},
+		"lanes[].effect":                {`"idempotent"`, `"sometimes"`},
+		"parties[0].share":              {`"share": 0.5`, `"share": 1.5`},
+		"parties[0].quotaRps":           {`"quotaRps": 4`, `"quotaRps": -4`},
+		"extra.cpus":                    {`"cpus": 2`, `"cpu": 2`},
+		"extra.ramKb":                   {`"ramKb": 5000, `, ``},
+		"extra.runFactor":               {`"runFactor": 4, `, ``},
+		"extra.entryKb: missing":        {`"entryKb": 3`, `"entryKb": 0`},
+		"extra.callShare":               {`"callShare": 0.5, `, ``},
+		"extra.callsOverMs":             {`"callsOverMs": 5000`, `"callsOverMs": 0`},
+		"extra.classCalls[0]":           {`"below": "shared"`, `"below": "none"`},
+		"extra.classCalls, ":            {`[true]`, `[true, false, true]`},
+		"extra.classSkipWorth[0]":       {`"classSkipWorth": [0.5]`, `"classSkipWorth": [2]`},
+		"extra.below":                   {`"below": "shared"`, `"below": "sea"`},
+		"obligations.fallMultiple":      {`"fallMultiple": 4, `, ``},
+		"obligations.rampTimeMs":        {`"rampTimeMs": 9000, `, ``},
+		"obligations.coldFrom: 3 is":    {`"coldFrom": 0.3`, `"coldFrom": 3`},
+		"cannot unmarshal string into ": {`"cpus": 2`, `"cpus": "two"`},
+	} {
+		text := strings.Replace(usable, change[0], change[1], 1)
+		if text == usable {
+			t.Fatalf("%s: nothing changed", key)
+		}
+		_, err := Parse([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", key, err)
+		}
+	}
+}
