What nothing tells the age of is held for less

The assumption was that either marks or patience tell.

Change: where neither is passed, the age limit is 0.05 of the deadline in place of 0.12. It could do harm where clients never come back by themselves and nothing says so.

TestUnsureAgeIsHeldForLess is red without it.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -21,6 +21,7 @@
 	pauseOver     = 60 * time.Millisecond  // a beat this late means that the process stood still
 	waitShare     = 0.30                   // max wait over the shortest aim: leaves most of it to run
 	ageShare      = 0.12                   // age limit as a share of the class deadline
+	unsureAge     = 0.05                   // the same where nothing tells how long its client has waited
 	minRunShare   = 1.4                    // usual runs that must fit before the aim, or a start is waste
 	idleRunShare  = 0.7                    // the same while cores idle, at base speed: trying costs little
 	worthFrom     = 0.2                    // pressure from which slots go by worth instead of age
@@ -354,7 +355,11 @@
 		r.due = m.now + r.Patience
 	}
 	r.due = min(r.due, m.stopAt)
-	r.old = r.arrived + time.Duration(ageShare*float64(c.Deadline))
+	share := ageShare
+	if !m.set.MarksRetries && !m.set.PassesPatience { // it may be its client's third try
+		share = unsureAge
+	}
+	r.old = r.arrived + time.Duration(share*float64(c.Deadline))
 	r.aim = r.arrived + c.Aim
 	if c.AimStretch > 0 {
 		work := r.Hint
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1263,3 +1263,25 @@
 	b.want(fmt.Sprint("reuse ", d))
 	b.wantNot(fmt.Sprint("run ", d), fmt.Sprint("refuse ", d))
 }
+
+// Where neither marks nor patience tell how long a client has waited already, what is held
+// may be its third try, and is let go sooner.
+func TestUnsureAgeIsHeldForLess(t *testing.T) {
+	for name, tc := range map[string]struct {
+		marks, patience bool
+		held            time.Duration
+	}{"marked": {true, false, 960 * ms}, "patience": {false, true, 960 * ms}, "neither": {false, false, 400 * ms}} {
+		b := newBed(t, func(s *Settings) { s.MarksRetries, s.PassesPatience = tc.marks, tc.patience })
+		b.arrive(3, nil)
+		b.arrive(3, nil) // both cores busy
+		b.settle()
+		from := b.now
+		a := b.arrive(0, nil) // 8 s until its deadline
+		for !b.last[fmt.Sprint("refuse ", a)] && b.now < from+2*time.Second {
+			b.pass(25*ms, 1, 9)
+		}
+		if took := b.now - from; took < tc.held || took > tc.held+60*ms {
+			t.Errorf("%s: refused after %v, want %v", name, took, tc.held)
+		}
+	}
+}
