The age limit binds only while the cores are taken

The assumption was that age is time held; where reading queues it is time unread.

Change: past its age limit a request is refused only while no core is free; aim and deadline bind as before. It covers any node that reads late.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -293,7 +293,7 @@
 	beyond := r.overdue && r.Earlier == 0 && m.pressure > worthFrom && m.onCores >= m.set.Cores
 	if beyond && !late {
 		m.overflow++
-		m.turnAway(r, true)
+		m.turnAway(r, m.together == nil || m.endsWalk(r, true))
 		return
 	}
 	if late || m.memory+m.keyMemory() > memoryMargin*m.set.MemoryKB {
@@ -467,10 +467,10 @@
 	m.seen = m.now
 }
 
-// tooOld reports whether a held request may not wait longer: its age limit has
-// passed, or what is left before its aim is too short to run it.
+// tooOld reports whether a held request may not wait longer: its age limit has passed and no core is
+// free (it was read late, not held), or what is left before its aim is too short to run it.
 func (m *Module) tooOld(r *request) bool {
-	return m.now > r.old || m.hopeless(r)
+	return m.now > r.old && m.onCores >= m.set.Cores || m.hopeless(r)
 }
 
 func (m *Module) hopeless(r *request) bool {
