--- a/decide/pools/load_test.go
+++ b/decide/pools/load_test.go
@@ -288,7 +288,7 @@
 		t.Errorf("%.2f is served in time after a stall", share(c))
 	}
 	set := site()
-	set.Tenants, set.OverShare = []rules.Tenant{{Share: 0.5}, {Share: 0.5}}, 0.2
+	set.Tenants, set.OverShare = []rules.Tenant{{Share: 0.5, QuotaPerSecond: 133}, {Share: 0.5, QuotaPerSecond: 133}}, 0.2
 	rate := 1.5 * 8 / 0.03
 	served := map[int]int{}
 	var arrivals = machine.Arrivals(4, 10*time.Second,
