A fleet's least room counts the moments between two lives of its nodes

Change: a loss knows the last word of the old life and the first of the next; the room missing at any one moment between them bounds the least. Nodes killed one after the other count only where they were away together.

--- a/decide/comeback/events.go
+++ b/decide/comeback/events.go
@@ -85,8 +85,13 @@
 type loss struct {
 	at   time.Duration
 	name string
+	from time.Duration // the last word of its old life
+	till time.Duration // the first word of its next one, or awaited
+	size float64
 }
 
+const awaited = time.Duration(math.MaxInt64)
+
 // NewEvents returns a watch that has seen nothing; number is the last event's of an
 // earlier life of the service.
 func NewEvents(now time.Duration, number int) *Events {
@@ -108,7 +113,12 @@
 		return
 	}
 	if w.Incarnation > k.Incarnation && !k.Leaving && !k.lost {
-		e.losses = append(e.losses, loss{now, w.Name})
+		e.losses = append(e.losses, loss{now, w.Name, k.at, now, k.size})
+	}
+	for i, l := range e.losses {
+		if l.name == w.Name && l.till == awaited {
+			e.losses[i].till = now
+		}
 	}
 	k.Word, k.at, k.lost = sane(w), now, false
 	k.size = max(k.Limit, sizeFade*k.size)
@@ -133,8 +143,9 @@
 	if dt <= 0 {
 		return nil
 	}
+	before := e.step
 	e.step = now
-	room, first, all := 0.0, 0.0, 0.0
+	room, whole, first, all := 0.0, 0.0, 0.0, 0.0
 	most := e.largest()
 	for _, name := range slices.Sorted(maps.Keys(e.nodes)) { // sums of floats depend on the order
 		k := e.nodes[name]
@@ -144,9 +155,10 @@
 			continue
 		case silent > wordMost && !k.lost:
 			if k.lost = true; !k.Leaving {
-				e.losses = append(e.losses, loss{now - wordMost, name})
+				e.losses = append(e.losses, loss{now - wordMost, name, k.at, awaited, k.size})
 			}
 		}
+		whole += min(k.size, most)
 		if !k.lost {
 			room += min(k.size, most) * k.Warm
 			first += k.Reads * (1 - k.Again) * dt
@@ -186,6 +198,9 @@
 	}
 	o.Lost = max(o.Lost, len(lost))
 	share := min(room/e.usual, 1)
+	if down := e.down(before, most); down > 0 && whole > 0 { // less was there between two words than any word says
+		share = min(share, max(0, 1-down/whole))
+	}
 	since := now - o.Began
 	if share < o.Least {
 		o.Least, o.LeastAt, o.Half, o.Most = share, since, 0, 0
@@ -215,6 +230,24 @@
 	return lines
 }
 
+// down is the most room that was missing at one moment between the lives of nodes, if one
+// of them was heard again after the time given.
+func (e *Events) down(after time.Duration, most float64) (down float64) {
+	if !slices.ContainsFunc(e.losses, func(l loss) bool { return l.till != awaited && l.till > after }) {
+		return 0
+	}
+	for _, a := range e.losses { // just before a was heard again
+		missing := 0.0
+		for _, b := range e.losses {
+			if b.from < a.till && a.till <= b.till && a.till != awaited {
+				missing += min(b.size, most)
+			}
+		}
+		down = max(down, missing)
+	}
+	return down
+}
+
 // largest is the most that one node's size counts: some times the median, so that one
 // liar does not make the fleet's room its own.
 func (e *Events) largest() float64 {
--- a/decide/comeback/events_test.go
+++ b/decide/comeback/events_test.go
@@ -70,6 +70,42 @@
 	}
 }
 
+// All die together and are back within a second, and each says from its first word on that it
+// is nearly warm: the least room is that of the moment in which all were dead, told by the gap
+// between two lives. Killed one after the other, only those count that were away at one moment.
+func TestLeastRoomIsBetweenTwoWords(t *testing.T) {
+	for name, tc := range map[string]struct {
+		apart    time.Duration
+		from, to float64
+	}{"together": {0, 0, 0.02}, "0.6 s apart": {600 * time.Millisecond, 0.3, 0.7}} {
+		e := NewEvents(0, 0)
+		dead := func(i int, at time.Duration) time.Duration { return at - 10*time.Second - time.Duration(i)*tc.apart }
+		warm := func(i int, at time.Duration) float64 {
+			switch d := dead(i, at); {
+			case d < 0:
+				return 1
+			case d < 900*time.Millisecond:
+				return -1
+			}
+			return 0.9
+		}
+		inc := func(i int, at time.Duration) uint64 {
+			if dead(i, at) >= 0 {
+				return 2
+			}
+			return 1
+		}
+		watchFleet(t, e, 6, 0, 19*time.Second, warm, inc)
+		list := e.List()
+		if len(list) != 1 {
+			t.Fatalf("%s: %d events", name, len(list))
+		}
+		if least := list[0].Least; least < tc.from || least > tc.to {
+			t.Errorf("%s: least room %.2f, want %.2f to %.2f", name, least, tc.from, tc.to)
+		}
+	}
+}
+
 // All go and stay away: the event ends, and the smaller fleet is the usual one then.
 // What an earlier life of the service saw stays known, its open event ended.
 func TestEventEnds(t *testing.T) {
