Entries given back are bounded by what could be kept

Since entries given back no longer count as memory of keys, nothing bounded how many stay until their window is over: a flood of keyed requests that are all refused, a stranger's too, left one each (500 of 500, rate times window on a node).

Change: no more of them stay than could be kept; beyond that an entry is dropped with its request. A repeat of one that is no longer known counts as run, as ever, and never runs.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -946,8 +946,11 @@
 // release frees the key of a request that will never run.
 func (m *Module) release(r *request) {
 	if e := m.entries[r.ID]; e != nil && !e.ran && !e.freed {
-		e.freed = true
-		m.freed++
+		if e.freed = true; float64(m.freed)*m.set.EntryKB < keyMemory*m.set.MemoryKB {
+			m.freed++
+		} else { // as many as could be kept: one that is unknown counts as run
+			delete(m.entries, r.ID)
+		}
 		m.host.Forget(r.ID)
 	}
 }
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1311,3 +1311,26 @@
 		}
 	}
 }
+
+// A flood of keyed requests that are all turned away leaves no more entries behind than
+// could be kept, twice over; a repeat of one that is no longer known never runs.
+func TestForgottenKeysAreBounded(t *testing.T) {
+	b := newBed(t, func(s *Settings) { s.MemoryKB, s.RunFactor, s.EntryKB = 10000, 1, 300 }) // 15 may be kept
+	var last RequestID
+	for range 500 {
+		last = b.arrive(2, func(q *Request) { q.KB = 1 })
+		b.settle()
+	}
+	b.want(fmt.Sprint("refuse ", last), fmt.Sprint("forget ", last))
+	if n := len(b.m.entries); n > 30 || n-b.m.freed > 15 {
+		t.Errorf("%d entries, %d of them freed", n, b.m.freed)
+	}
+	again := b.arrive(2, func(q *Request) { q.KB, q.Earlier = 1, last })
+	b.settle()
+	b.want(fmt.Sprint("reuse ", again))
+	b.wantNot(fmt.Sprint("run ", again))
+	b.pass(6*time.Second, 1, 5)
+	if n := len(b.m.entries); b.m.freed != 0 || n > 4 {
+		t.Errorf("after the window %d entries, %d freed", n, b.m.freed)
+	}
+}
