--- a/decide/comeback/events.go
+++ b/decide/comeback/events.go
@@ -4,6 +4,7 @@
 package comeback
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -236,14 +237,22 @@
 	if !slices.ContainsFunc(e.losses, func(l loss) bool { return l.till != awaited && l.till > after }) {
 		return 0
 	}
-	for _, a := range e.losses { // just before a was heard again
-		missing := 0.0
-		for _, b := range e.losses {
-			if b.from < a.till && a.till <= b.till && a.till != awaited {
-				missing += min(b.size, most)
-			}
+	type point struct { // in order of time, ends first: a node is away after from, up to till
+		at   time.Duration
+		more float64
+	}
+	points := make([]point, 0, 2*len(e.losses))
+	for _, l := range e.losses {
+		size := min(l.size, most)
+		points = append(points, point{l.from, size}, point{l.till, -size})
+	}
+	slices.SortFunc(points, func(a, b point) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.more, b.more)) })
+	missing := 0.0
+	for _, p := range points {
+		if p.more < 0 && p.at != awaited {
+			down = max(down, missing)
 		}
-		down = max(down, missing)
+		missing += p.more
 	}
 	return down
 }
--- a/decide/comeback/events_test.go
+++ b/decide/comeback/events_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -106,6 +107,44 @@
 	}
 }
 
+// What is missing between lives is what a look at each return says, and a fleet of 20,000
+// nodes that restart together costs no more than sorting them.
+func TestDownIsTheMostAway(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 7))
+	for range 300 {
+		e := NewEvents(0, 0)
+		for range rng.IntN(12) {
+			from := time.Duration(rng.IntN(10))
+			l := loss{from: from, till: from + 1 + time.Duration(rng.IntN(6)), size: float64(1 + rng.IntN(4))}
+			if rng.IntN(5) == 0 {
+				l.till = awaited
+			}
+			e.losses = append(e.losses, l)
+		}
+		want := 0.0
+		for _, a := range e.losses {
+			missing := 0.0
+			for _, b := range e.losses {
+				if a.till != awaited && b.from < a.till && a.till <= b.till {
+					missing += b.size
+				}
+			}
+			want = max(want, missing)
+		}
+		if got := e.down(0, 1e9); got != want {
+			t.Fatalf("%v missing of %+v, want %v", got, e.losses, want)
+		}
+	}
+	e := NewEvents(0, 0)
+	for i := range 20_000 {
+		e.losses = append(e.losses, loss{from: time.Duration(i), till: time.Duration(i) + time.Second, size: 1})
+	}
+	began := time.Now()
+	if got := e.down(0, 1e9); got != 20_000 || time.Since(began) > time.Second {
+		t.Errorf("%v of 20,000 missing, found in %v", got, time.Since(began))
+	}
+}
+
 // All go and stay away: the event ends, and the smaller fleet is the usual one then.
 // What an earlier life of the service saw stays known, its open event ended.
 func TestEventEnds(t *testing.T) {
