--- a/review/2/main.go
+++ b/review/2/main.go
@@ -22,7 +22,7 @@
 	interval    = 60 * time.Millisecond // between the requests of a dispatcher
 	length      = 30 * time.Second
 	limit       = 4 * time.Second // how long a dispatcher waits for a try
-	memoryMB    = 64
+	memoryMB    = 48
 	sockets     = 384
 	clients     = 40  // bad ones
 	pairs       = 500 // requests that a bad client withdraws at once
