An incomplete message has its own age, not that of the one before it

Cause: Conn.queueInput kept the begin of an incomplete message when one read brought its end and the begin of the next one. freeConnectionSlot took the time of the last message for the age of the incomplete one.

Evidence: the log names read_stalled 30.6 s after the first piece; written whole nothing is lost. Before the fix TestPartialAgeIsOfTheLastMessage failed (21 ms, the message began 0.1 ms ago), TestRequestsInPiecesAreServed (EOF after 22 requests) and TestPartialMessageFreesSlot (closed for the age of the last message).

Change: a read that ends a message sets the begin anew; nothing else does, so that a message that never ends meets its bound, which both tests check.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -155,11 +155,11 @@
 			}
 			continue
 		}
-		partial := c.PartialAge(now) > 0
-		if !idle || c.Unsent() > 0 || partial && now.Sub(used) < partialCloseAfter {
+		partial := c.PartialAge(now)
+		if !idle || c.Unsent() > 0 || partial > 0 && partial < partialCloseAfter {
 			continue
 		}
-		if partial {
+		if partial > 0 {
 			rank = 2
 		}
 		if victim == nil || rank < victimRank || rank == victimRank && used.Before(victimUsed) {
--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -183,11 +183,17 @@
 	if b.freeConnectionSlot() {
 		t.Error("closed the connection with half a message at once")
 	}
-	for _, c := range b.connections() {
+	for _, c := range b.connections() { // the message has only begun, whenever the last one came
 		c.mu.Lock()
 		c.lastUsed = c.lastUsed.Add(-2 * partialCloseAfter)
 		c.mu.Unlock()
 	}
+	if b.freeConnectionSlot() {
+		t.Error("closed a connection for the age of its last message")
+	}
+	for _, c := range b.connections() {
+		c.RestartPartialTimer(time.Now().Add(-2 * partialCloseAfter))
+	}
 	if !b.freeConnectionSlot() || b.freeConnectionSlot() {
 		t.Error("did not close exactly one connection")
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -296,6 +296,32 @@
 	}
 }
 
+// Guards against lost requests of dispatchers that write in pieces: the rest of each request comes with the begin of
+// the next one, for longer than a message may stay incomplete. One that never ends still meets that bound.
+func TestRequestsInPiecesAreServed(t *testing.T) {
+	b := startServer(t, func(s *Server) { s.partialIdleLimit, s.partialMaxLimit = 400*time.Millisecond, 400*time.Millisecond })
+	b.sink.answer = &exchange.Answer{Kind: exchange.Served, Body: []byte("r")}
+	d := b.dial(t)
+	rest := []byte(nil)
+	for i := range 40 { // each takes 20 ms: twice the limit in all
+		message := standin.EncodeMessage("RPC.CALL", fmt.Sprint(i+1), "read", safeFields, "x")
+		d.Write(append(rest, message[:20]...))
+		rest = message[20:]
+		if i > 0 {
+			if got, want := d.Receive(), fmt.Sprintf("%d ACK  r", i); got != want {
+				t.Fatalf("%q, want %q", got, want)
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if got := d.Receive(); got != "EOF" {
+		t.Errorf("the message that never ends: %q", got)
+	}
+	if n := b.Traffic.Closed[stream.ReadStalled].Load(); n != 1 {
+		t.Errorf("%d connections closed as stalled", n)
+	}
+}
+
 // For each reason that can close an open connection: open requests are abandoned once, requests that have ended
 // keep their final state, and other connections are not affected.
 func TestRequestsAfterEachCloseReason(t *testing.T) {
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -167,13 +167,21 @@
 	if whole > 0 {
 		c.readyBytes = before + whole
 	}
-	if c.in.Len() > c.readyBytes {
-		c.partialSince.CompareAndSwap(0, sinceClockStart(time.Now()))
-	}
-	if whole > 0 && c.in.Len() == c.readyBytes {
+	c.updatePartialSince(whole > 0)
+	return reason
+}
+
+// updatePartialSince records, after input was queued, when the incomplete message at its end began. endedMessage:
+// the input had the end of a message, so that what is incomplete now began with this input.
+func (c *Conn) updatePartialSince(endedMessage bool) {
+	switch {
+	case c.in.Len() == c.readyBytes:
 		c.partialSince.Store(0)
+	case endedMessage:
+		c.partialSince.Store(sinceClockStart(time.Now()))
+	default:
+		c.partialSince.CompareAndSwap(0, sinceClockStart(time.Now()))
 	}
-	return reason
 }
 
 // clockStart is the origin of this package's monotonic times; wall clock time may jump.
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"robinmast/internal/standin"
 	"robinmast/rules"
 )
 
@@ -102,6 +103,50 @@
 	}
 }
 
+// Guards against requests lost by a peer that writes in pieces: a message that begins in the read that ends another
+// one took over its age, so that the connection was closed as stalled. One that never ends keeps its own age.
+func TestPartialAgeIsOfTheLastMessage(t *testing.T) {
+	c, peer := pair(t, defaultLimits, &Traffic{}, nil)
+	read := make(chan int)
+	go func() {
+		buf := make([]byte, 64)
+		for {
+			n, err := c.Read(buf)
+			if err != nil {
+				return
+			}
+			read <- n
+		}
+	}()
+	partial := func() bool { return c.PartialAge(time.Now()) > 0 }
+	write := func(p string) time.Time {
+		began := time.Now()
+		if _, err := peer.Write([]byte(p)); err != nil {
+			t.Fatal(err)
+		}
+		return began
+	}
+	write("ab")
+	standin.Eventually(t, "half a message", partial)
+	for range 3 {
+		time.Sleep(20 * time.Millisecond)
+		began := write("c\nab")
+		<-read
+		now := time.Now()
+		if age := c.PartialAge(now); age == 0 || age > now.Sub(began) {
+			t.Fatalf("partial age is %v, %v after the message began", age, now.Sub(began))
+		}
+	}
+	began := time.Now()
+	in := c.traffic.BytesIn.Load()
+	write("c")
+	standin.Eventually(t, "more of the message", func() bool { return c.traffic.BytesIn.Load() > in })
+	time.Sleep(5 * time.Millisecond)
+	if now := time.Now(); c.PartialAge(now) < now.Sub(began) {
+		t.Errorf("partial age is %v, more than %v after the message began", c.PartialAge(now), now.Sub(began))
+	}
+}
+
 func TestSendArrivesInOrderAndIsCounted(t *testing.T) {
 	var tr Traffic
 	c, peer := pair(t, defaultLimits, &tr, nil)
