Keyed and unsafe runs in doubt after a break fail instead of starting again

Cause: Link.endReplay sent spawn again for every run whose command might be unread, whatever its effect, and supply as well. A run that was read and ended between the answer to the replay's poll and that command started again; a result reached a run at its next call. handleLostNotices already asked whether a run is safe.

Evidence: the pool's record has the end of each first run between its starts.

Change: commands are numbered; what is in doubt after a replay is sent again for safe work only. Any other run in doubt is told to stop and fails (counter in_doubt). A safe run in doubt after its call is stopped and started again. A link that moves settles first: commands wait until a poll behind what was sent is answered, 100 ms at most. The end of a link that never became ready no longer makes commands seem older than they are.

TestContinueAfterCall asked that a supply in doubt be sent again to a run that is not safe, which is the fault; it now asks that this run is stopped and fails. The stand-in pool can carry out commands once per interval.

--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -41,7 +41,7 @@
 			traffic(&dispatchers.Traffic)),
 		slog.Group("pool",
 			"links", workers.Counters.Links.Load(),
-			"spawned", workers.Counters.Started.Load(), "respawned", workers.Counters.Restarted.Load(),
+			"spawned", workers.Counters.Started.Load(), "respawned", workers.Counters.Restarted.Load(), "in_doubt", workers.Counters.InDoubt.Load(),
 			"suspended", workers.Counters.Stopped.Load(),
 			"complete", workers.Counters.EndedRuns[pool.Complete].Load(), "error", workers.Counters.EndedRuns[pool.Error].Load(),
 			"cancelled", workers.Counters.EndedRuns[pool.Cancelled].Load(),
--- a/internal/pool/notices.go
+++ b/internal/pool/notices.go
@@ -2,11 +2,9 @@
 
 import (
 	"bufio"
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +17,10 @@
 	"complete": Complete, "error": Error, "cancelled": Cancelled, "unknown": NeverStarted,
 }
 
+// gaugeTagPrefix begins the tags of PollGauges. The number of the last command that was
+// sent before the poll follows.
+const gaugeTagPrefix = "g"
+
 // notice is a message from the worker pool, one line of JSON.
 type notice struct {
 	Op     string    `json:"op"`
@@ -100,14 +102,7 @@
 	case "chatter":
 		l.acceptSeq(n)
 	case "polled":
-		l.mu.Lock()
-		if !l.ready && n.Tag == l.replayTag() {
-			l.endReplay()
-		} else if order, err := strconv.ParseUint(strings.TrimPrefix(n.Tag, "g"), 10, 64); err == nil && order <= l.lastOrder {
-			l.readOrder = max(l.readOrder, order) // commands are read in order, so those before the poll were read
-		}
-		l.mu.Unlock()
-		l.sink.GaugesRead(n.Values)
+		l.handlePolled(n)
 	case "unknown":
 		l.handleRejected(n)
 	default:
@@ -115,93 +110,28 @@
 	}
 }
 
-// replayTag returns the tag of the poll whose answer ends the replay; the lock must be held.
-func (l *Link) replayTag() string { return "r" + strconv.Itoa(l.links) }
-
-// handleBound starts the replay: the missed notices follow, and then the answer to a poll
-// that is sent now. No run is started before that answer: a run that ended while there was
-// no link must be known to have ended first, or it would run twice.
-func (l *Link) handleBound(c *stream.Conn, n notice) {
+// handlePolled handles the answer to a poll. Commands are read in order, so that those
+// before the poll were read.
+func (l *Link) handlePolled(n notice) {
+	var failed []*run
 	l.mu.Lock()
-	if l.ready {
-		l.mu.Unlock()
-		l.logBadLine("worker pool sent bound twice on one link")
-		return
-	}
-	sendCommand(c, command{Op: "poll", Tag: l.replayTag()})
-	lastSeq := l.lastSeq
-	l.mu.Unlock()
-	l.Counters.Links.Add(1)
-	l.log.Info("worker pool bound", "began", n.End, "up_ms", n.Ms, "after", lastSeq)
-	l.sink.WorkerPoolUp(n.End == "chilly", clampMillis(n.Ms))
-}
-
-// endReplay sends the commands again that the worker pool may not have read, and lets new
-// ones be sent; the lock must be held. A run whose command is known to have been read is
-// not started again: one that ended since the replay would run twice.
-func (l *Link) endReplay() {
-	l.ready = true
-	open := make([]*run, 0, len(l.runs))
-	for _, r := range l.runs {
-		open = append(open, r)
-	}
-	slices.SortFunc(open, func(a, b *run) int { return cmp.Compare(a.order, b.order) })
-	for _, r := range open {
-		if !r.sent || r.order > l.readOrder || l.linkEnded.Sub(r.sentAt) < unreadWindow {
-			if r.sent {
-				l.Counters.Restarted.Add(1)
-			}
-			l.sendSpawn(r)
-		}
-		if r.continuation != nil && (r.continuationSentAt.IsZero() || l.linkEnded.Sub(r.continuationSentAt) < unreadWindow) {
-			r.continuationSentAt = time.Now()
-			sendCommand(l.conn, *r.continuation)
-		}
-		if r.stopped {
-			sendCommand(l.conn, command{Op: "suspend", ID: r.x.Txn})
+	switch {
+	case !l.ready:
+		if n.Tag == l.replayTag() {
+			failed = l.endReplay()
 		}
-	}
-}
-
-// acceptSeq reports whether a numbered notice is new, and records its number.
-func (l *Link) acceptSeq(n notice) bool {
-	l.mu.Lock()
-	lastSeq := l.lastSeq
-	if n.Seq > lastSeq {
-		l.lastSeq = n.Seq
-	}
-	l.mu.Unlock()
-	if n.Seq <= lastSeq {
-		l.Counters.RepeatedNotices.Add(1) // part of the protocol
-		return false
-	}
-	if n.Seq > lastSeq+1 {
-		l.handleLostNotices(n.Seq - lastSeq - 1)
-	}
-	return true
-}
-
-// handleLostNotices fails the runs that may have ended without a notice and must not run
-// again. Safe work is started again on the next link: if it still runs, the worker pool
-// ignores the command.
-func (l *Link) handleLostNotices(missed int64) {
-	l.Counters.LostNotices.Add(missed)
-	l.mu.Lock()
-	l.readOrder = 0 // runs whose commands were read may have ended without a notice
-	var lost []*run
-	for id, r := range l.runs {
-		if r.sent && !r.x.Safe {
-			lost = append(lost, r)
-			delete(l.runs, id)
+	case l.settling != nil && n.Tag == l.settling.tag():
+		l.handleSettled()
+	default:
+		text, isGaugePoll := strings.CutPrefix(n.Tag, gaugeTagPrefix)
+		order, err := strconv.ParseUint(text, 10, 64)
+		if isGaugePoll && err == nil && order <= l.lastOrder {
+			l.readOrder = max(l.readOrder, order)
 		}
 	}
 	l.mu.Unlock()
-	l.log.Warn("notices from the worker pool were lost", "missed", missed, "failed", len(lost))
-	slices.SortFunc(lost, func(a, b *run) int { return cmp.Compare(a.order, b.order) })
-	for _, r := range lost {
-		l.Counters.EndedRuns[Error].Add(1)
-		l.sink.RunEnded(r.x, Error, 0, nil)
-	}
+	l.failRuns(failed)
+	l.sink.GaugesRead(n.Values)
 }
 
 // removeRun removes the run with this transaction name and returns it, nil if it is unknown.
@@ -220,6 +150,9 @@
 		l.logBadLine("unknown run outcome from the worker pool", "end", truncate(n.End))
 		outcome = Error
 	}
+	if l.handleStoppedForRestart(n.ID, outcome) || l.isAbandoned(n.ID) {
+		return
+	}
 	r := l.removeRun(n.ID)
 	if r == nil {
 		l.logBadLine("end of an unknown run", "id", truncate(n.ID))
@@ -235,10 +168,14 @@
 func (l *Link) handleBlocked(n notice) {
 	l.mu.Lock()
 	r := l.runs[n.ID]
+	restart := r != nil && r.restart
 	if r != nil {
-		r.continuation = nil
+		r.started, r.continuation = true, nil
 	}
 	l.mu.Unlock()
+	if restart || l.isAbandoned(n.ID) {
+		return // it is being stopped, and must not get the result of a call that belongs to its next start
+	}
 	if r == nil {
 		l.logBadLine("downstream call of an unknown run", "id", truncate(n.ID))
 		return
@@ -250,6 +187,9 @@
 // has no run and will never have one.
 func (l *Link) handleRejected(n notice) {
 	l.logBadLine("command rejected by the worker pool", "op", truncate(n.End), "id", truncate(n.ID))
+	if n.End == "suspend" {
+		l.failUnstoppable(n.ID)
+	}
 	if n.End != "spawn" {
 		return
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,7 +34,8 @@
 	badLineLogInterval = 2 * time.Second        // between log lines about malformed input
 	downLogInterval    = 5 * time.Second        // between log lines while the worker pool is unreachable
 	lingerTimeout      = 100 * time.Millisecond // for the worker pool to close its side of an abandoned link
-	unreadWindow       = 100 * time.Millisecond // commands sent this shortly before a link ended may be unread
+	unreadWindow       = 100 * time.Millisecond // safe runs started this shortly before a link ended are started again
+	settleTimeout      = 100 * time.Millisecond // for the worker pool to read what was sent on a link that moves
 )
 
 // Outcome is how a run ended, as the worker pool reports it.
@@ -69,7 +70,8 @@
 type Counters struct {
 	Links           atomic.Int64    // links that the worker pool bound
 	Started         atomic.Int64    // runs started
-	Restarted       atomic.Int64    // of those, started again on a new link
+	Restarted       atomic.Int64    // of those, started again after a link ended
+	InDoubt         atomic.Int64    // of those, failed because it is unknown what the worker pool has read
 	Stopped         atomic.Int64    // runs stopped
 	EndedRuns       [4]atomic.Int64 // runs by Outcome
 	Rejected        atomic.Int64    // runs that the worker pool did not start
@@ -81,13 +83,21 @@
 // run is a run that was started and is not known to be over.
 type run struct {
 	x       *exchange.Exchange
-	order   uint64    // number of the run, in the order of StartRun
-	sent    bool      // the command may have reached the worker pool
-	sentAt  time.Time // when it was sent last
+	order   uint64    // number of the command that starts it
+	sent    bool      // that command may have reached the worker pool
+	sentAt  time.Time // when it was queued to be sent last
+	started bool      // a notice has shown that the worker pool started it
 	stopped bool      // StopRun was called
+	restart bool      // it was told to stop, and is started again once it has
 
-	continuation       *command  // the command after its last call, nil = none yet
-	continuationSentAt time.Time // when that was sent last, zero = never
+	continuation *continuation // the command after its last call, nil = none, or known to have been read
+}
+
+// continuation is the command that lets a run continue after a downstream call.
+type continuation struct {
+	command
+	order uint64 // its number
+	sent  bool   // it may have reached the worker pool
 }
 
 // Link is the connection to the worker pool, replaced when it ends.
@@ -106,14 +116,19 @@
 	addr      string
 	nextConn  net.Conn        // connected to a changed addr, for the next link; nil = none
 	conn      *stream.Conn    // nil while there is no link
-	ready     bool            // the replay has ended: commands may be sent
+	ready     bool            // the replay has ended
+	settling  *settling       // set while the link is about to move: no commands are sent
 	runs      map[string]*run // by transaction name
-	lastOrder uint64          // order of the last run started
-	readOrder uint64          // the worker pool has read the commands of runs up to this order
-	linkEnded time.Time       // when the last link ended
+	lastOrder uint64          // number of the last command that starts or continues a run
+	readOrder uint64          // the worker pool has read these commands up to this number
+	linkEnded time.Time       // when the last link ended that had been ready
 	lastSeq   int64           // number of the last notice read
 	links     int             // links opened so far, part of the replay's tag
 
+	// abandoned holds the transaction names of the runs that were stopped and failed at
+	// the last replay. Notices about them are expected.
+	abandoned map[string]struct{}
+
 	lastBadLineLog  time.Time
 	suppressedLines int // not logged since
 }
@@ -179,11 +194,15 @@
 	l.lastOrder++
 	r := &run{x: x, order: l.lastOrder}
 	l.runs[x.Txn] = r
-	if l.ready {
+	if l.canSend() {
 		l.sendSpawn(r)
 	}
 }
 
+// canSend reports whether commands may be sent; the lock must be held. Those that may not
+// are sent at the end of the next replay.
+func (l *Link) canSend() bool { return l.ready && l.settling == nil }
+
 // sendSpawn sends the command that starts a run; the lock must be held.
 func (l *Link) sendSpawn(r *run) {
 	r.sent, r.sentAt = true, time.Now()
@@ -211,12 +230,17 @@
 		l.sink.RunEnded(x, Cancelled, 0, nil)
 		return
 	}
-	if l.ready {
-		sendCommand(l.conn, command{Op: "suspend", ID: x.Txn})
+	if l.canSend() {
+		l.sendSuspend(x)
 	}
 	l.mu.Unlock()
 }
 
+// sendSuspend sends the command that stops a run; the lock must be held.
+func (l *Link) sendSuspend(x *exchange.Exchange) {
+	sendCommand(l.conn, command{Op: "suspend", ID: x.Txn})
+}
+
 // ContinueWithResult lets a run that waits for a downstream call continue with its result.
 func (l *Link) ContinueWithResult(x *exchange.Exchange, result []byte) {
 	if result == nil {
@@ -239,19 +263,25 @@
 	if r == nil || r.x != x {
 		return // it is over
 	}
-	r.continuation, r.continuationSentAt = &cmd, time.Time{}
-	if l.ready {
-		r.continuationSentAt = time.Now()
-		sendCommand(l.conn, cmd)
+	l.lastOrder++
+	r.continuation = &continuation{command: cmd, order: l.lastOrder}
+	if l.canSend() {
+		l.sendContinuation(r)
 	}
 }
 
+// sendContinuation sends the command after a run's last call; the lock must be held.
+func (l *Link) sendContinuation(r *run) {
+	r.continuation.sent = true
+	sendCommand(l.conn, r.continuation.command)
+}
+
 // PollGauges requests the gauges, if a link is up.
 func (l *Link) PollGauges() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ready {
-		sendCommand(l.conn, command{Op: "poll", Tag: "g" + strconv.FormatUint(l.lastOrder, 10)})
+	if l.canSend() {
+		sendCommand(l.conn, command{Op: "poll", Tag: gaugeTagPrefix + strconv.FormatUint(l.lastOrder, 10)})
 	}
 }
 
@@ -329,7 +359,10 @@
 	sendCommand(c, command{Op: "bind", Seq: &lastSeq})
 	err = l.readLines(c)
 	l.mu.Lock()
-	l.conn, l.ready, l.linkEnded = nil, false, time.Now()
+	if l.ready {
+		l.linkEnded = time.Now()
+	}
+	l.conn, l.ready, l.settling = nil, false, nil
 	l.mu.Unlock()
 	c.Abort(stream.CloseReasonOf(err, stream.ReadFailed))
 	<-c.Done()
@@ -365,31 +398,3 @@
 		l.nextConn = nil
 	}
 }
-
-// followAddress waits, while a link is up, for a new address, and ends the link once a
-// connection to the new one is open: a new address at which nothing listens yet must not
-// cost the present link.
-func (l *Link) followAddress(ctx context.Context, c *stream.Conn) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-l.addressChanged:
-	}
-	for wait := backoffMin; ; wait = min(2*wait, backoffMax) {
-		raw, err := l.dial(ctx)
-		if err == nil {
-			l.mu.Lock()
-			l.nextConn = raw
-			l.mu.Unlock()
-			c.Abort(stream.ClosedLocally)
-			return
-		}
-		l.Traffic.CountFailedDial(err)
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.addressChanged: // a newer address
-		case <-time.After(wait):
-		}
-	}
-}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -286,8 +286,8 @@
 }
 
 // A run that waits for a downstream call continues with its result, or without it. The
-// command is sent again if it may have been lost with its link, and not if a notice about
-// the run was received since.
+// command is sent on the next link if there was none, and never twice: a run that is neither
+// safe nor known to have read it fails.
 func TestContinueAfterCall(t *testing.T) {
 	l, sink, w := startLink(t)
 	w.bind(1, 0)
@@ -316,21 +316,14 @@
 	w.send(`{"op":"bound","end":"hot","ms":5}`)
 	w.expect(`{"op":"poll","tag":"r2"}`)
 	w.send(`{"op":"polled","tag":"r2","values":[0,0]}`)
-	for range 4 { // runs whose commands may be unread are started again first
-		_ = w.c.SetReadDeadline(time.Now().Add(5 * time.Second))
-		line, err := w.rd.ReadString('\n')
-		if err != nil {
-			t.Fatal(err)
-		}
-		switch line = strings.TrimSuffix(line, "\n"); line {
-		case spawnLine("a"), spawnLine("b"), supplyLine("a", "more"), supplyLine("b", ""):
-		default:
-			t.Errorf("sent %s", line)
-		}
-	}
+	w.expect(supplyLine("a", "more"))
+	w.expect(`{"op":"suspend","id":"b"}`) // it must not get this result at its next call
 	w.expectSilence()
 	l.StopRun(a)
 	w.expect(`{"op":"suspend","id":"a"}`)
+	if ended := sink.endedRuns(); len(ended) != 2 || ended[1].x != b || ended[1].end != Error {
+		t.Errorf("ended: %+v", ended)
+	}
 }
 
 // The link ends within a notice, at every one of its bytes. The notice is repeated on the
--- a/internal/standin/platform/pool.go
+++ b/internal/standin/platform/pool.go
@@ -56,6 +56,7 @@
 	coldSpeed        float64       // share of the full speed at the start; 0 = warm from the start
 	warmUpTime       time.Duration // time until the pool has its full speed
 	slowdown         float64       // factor on the duration of all work; below 1 it has no effect
+	commandInterval  time.Duration // between the moments at which commands are carried out; 0 = at once
 }
 
 // run is a run in progress.
@@ -142,6 +143,14 @@
 	p.mu.Unlock()
 }
 
+// SetCommandInterval makes the pool carry out the commands that it has read only once per interval, as the platform's
+// does. Those that wait are lost if the link breaks. It must be called before a node links to the pool.
+func (p *Pool) SetCommandInterval(interval time.Duration) {
+	p.mu.Lock()
+	p.commandInterval = interval
+	p.mu.Unlock()
+}
+
 // SetSlowdown multiplies the duration of all work by a factor from now on; 1 is normal.
 func (p *Pool) SetSlowdown(factor float64) {
 	p.mu.Lock()
@@ -199,17 +208,32 @@
 	}()
 	stop := context.AfterFunc(p.ctx, func() { _ = c.Close() })
 	defer stop()
-	lines := bufio.NewScanner(c)
-	for lines.Scan() {
+	p.mu.Lock()
+	interval := p.commandInterval
+	p.mu.Unlock()
+	lines := bufio.NewReaderSize(c, 64<<10)
+	for {
+		waited := lines.Buffered() > 0
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		if !waited {
+			time.Sleep(interval)
+		}
 		var m struct {
 			Op, ID, Class, Tag string
 			Seq                int
 			Body               []byte
 		}
-		if json.Unmarshal(lines.Bytes(), &m) != nil {
+		if json.Unmarshal(line, &m) != nil {
 			return
 		}
 		p.mu.Lock()
+		if p.link != nil && p.link != c && m.Op != "bind" { // a new link has replaced this one
+			p.mu.Unlock()
+			return
+		}
 		switch m.Op {
 		case "bind":
 			if p.link != nil {
