Requests that wait for the loop have a bound in bytes, and readers take turns with it

Cause: the event queue had no bound. A withdrawn request is not open any more, so that the bound of 32 on a connection did not hold what waits for the loop; readers kept the one processor from the loop meanwhile.

Change: requests are charged against 1/32 of the memory as they are read and released as the loop has handled them; a reader that does not fit waits, first come, first served (golang.org/x/sync/semaphore). A connection passes on 32 messages at most between two batches. Ends of unknown runs are charged too, and dropped where no result cache could know them.

--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -37,7 +37,7 @@
 			"cancels", dispatchers.Counters.Cancels.Load(), "cancels_unmatched", dispatchers.Counters.Unmatched.Load(),
 			"health", dispatchers.Counters.Health.Load(), "unknown", dispatchers.Counters.Unknown.Load(),
 			"held_connections", delayedConnects, "held_health", delayedProbes,
-			"accept_failures", dispatchers.Counters.AcceptFailures.Load(), "open", dispatchers.Conns(),
+			"accept_failures", dispatchers.Counters.AcceptFailures.Load(), "held_requests", p.node.IntakeWaits(), "open", dispatchers.Conns(),
 			traffic(&dispatchers.Traffic)),
 		slog.Group("pool",
 			"links", workers.Counters.Links.Load(),
--- a/cmd/robinmast/serve.go
+++ b/cmd/robinmast/serve.go
@@ -27,6 +27,7 @@
 	reservedSockets = 16          // for everything but dispatchers' connections and downstream calls
 	outBufferPart   = 8           // all output buffers together may use 1/8 of the memory
 	resultCachePart = 8           // results in memory may use 1/8 of it
+	intakePart      = 32          // requests that wait for the loop may use 1/32 of it
 	minStopWait     = time.Second // least time for the components to stop
 )
 
@@ -70,7 +71,8 @@
 	}
 	nc := node.Config{
 		Settings: cfg.nodeSettings, Seed: cfg.seed, ResultBytes: int(memory / resultCachePart),
-		Health: p.members.SetServing, Log: log,
+		IntakeBytes: int(memory / intakePart),
+		Health:      p.members.SetServing, Log: log,
 	}
 	if len(cfg.iniConfig.Control.Address) > 0 {
 		var err error
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -14,8 +14,9 @@
 	"robinmast/internal/stream"
 )
 
-// client is one dispatcher's connection with the requests that are open on it, by tag. Apart from health checks
-// that wait for admission, it never blocks: neither on the node's event loop nor on the network.
+// client is one dispatcher's connection with the requests that are open on it, by tag. Only its reader ever waits:
+// with a health check for admission, with a request until the sink has memory for it, and after many messages for the
+// sink's next batch.
 type client struct {
 	*stream.Conn
 	server *Server
@@ -26,6 +27,10 @@
 	sentValid bool                          // a valid message of the protocol was received
 	finSentAt time.Time                     // when FIN was sent on it, so that no new request comes
 	closedAt  time.Time                     // when it was closed
+
+	// Used by the reader only: the sink's batch in which it read last, and the messages read since that.
+	batch         uint64
+	batchMessages int
 }
 
 // Write discards what redcon itself sends, which is only replies to broken framing. Those connections are closed
@@ -85,6 +90,7 @@
 	if len(cmd.Args) > 1 {
 		tag = cmd.Args[1]
 	}
+	c.pace()
 	switch string(cmd.Args[0]) {
 	case "RPC.CALL":
 		c.call(tag, cmd.Args)
@@ -101,6 +107,18 @@
 	}
 }
 
+// pace makes the reader wait for the sink's next batch if it has passed on messagesPerBatch messages since the last
+// one. A peer that sends without pause would otherwise keep the processor from the sink and from other peers.
+func (c *client) pace() {
+	if batch := c.server.sink.Batch(); batch != c.batch {
+		c.batch, c.batchMessages = batch, 0
+	}
+	if c.batchMessages++; c.batchMessages > messagesPerBatch {
+		c.server.sink.AwaitBatch(c.batch)
+		c.batch, c.batchMessages = c.server.sink.Batch(), 1
+	}
+}
+
 // reject answers a message that could not be parsed as a request with FAIL, and with tag 0 if its own tag
 // is not valid. It is not refused, since it is unknown what its dispatcher would conclude from a refusal.
 func (c *client) reject(tag []byte) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 // Limits and timeouts of connections; none of them decides about a request.
 const (
 	maxOpenRequests   = 32                     // requests open on one connection
+	messagesPerBatch  = maxOpenRequests        // messages that a connection passes on between two batches of the sink
 	inRingBytes       = 16 << 10               // input ring: one message and what was read beyond it
 	outRingBytes      = 160 << 10              // output ring: the answers of all open requests
 	sweepInterval     = 50 * time.Millisecond  // how often idle and stalled connections are looked for
@@ -53,10 +54,18 @@
 	finalAcceptTimeouts = 2
 )
 
-// Sink receives the requests of dispatchers. Its methods must not block.
+// Sink receives the requests of dispatchers.
 type Sink interface {
-	Arrived(*exchange.Exchange)    // a request was read
-	CallerGone(*exchange.Exchange) // its dispatcher cancelled it or its connection closed
+	// Arrived delivers a request that was read. It may wait until the sink has memory for it;
+	// meanwhile nothing more is read from its connection.
+	Arrived(*exchange.Exchange)
+	// CallerGone notifies that a request was cancelled by its dispatcher or that its
+	// connection closed. It must not block, and may precede the end of Arrived.
+	CallerGone(*exchange.Exchange)
+	// Batch returns the number of the last batch of events that the sink has handled.
+	Batch() uint64
+	// AwaitBatch waits until the sink has handled a batch after the one with this number.
+	AwaitBatch(after uint64)
 }
 
 // Config configures a Server.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -322,6 +322,38 @@
 	}
 }
 
+// Guards against peers that keep the processor from the sink: a connection passes on a bounded number of messages
+// between two batches, whatever they are, and another connection is served meanwhile.
+func TestMessagesAreReadInTurnWithBatches(t *testing.T) {
+	b := startServer(t, nil)
+	b.sink.paced = true
+	flood, other := b.dial(t), b.dial(t)
+	go func() {
+		for i := range 10 * messagesPerBatch {
+			if i%2 == 0 {
+				flood.Send("RPC.CALL", fmt.Sprint(i+1), "read", safeFields, "x")
+			} else {
+				flood.Send("RPC.CANCEL", fmt.Sprint(i))
+			}
+		}
+	}()
+	read := func() int { arrived, gone := b.sink.counts(); return arrived + gone }
+	for batch := 1; batch <= 10; batch++ {
+		standin.Eventually(t, "messages of a batch", func() bool { return read() == batch*messagesPerBatch })
+		time.Sleep(5 * time.Millisecond)
+		if n := read(); n != batch*messagesPerBatch {
+			t.Fatalf("%d messages were passed on after %d batches", n, batch-1)
+		}
+		if batch == 5 {
+			other.Send("RPC.HEALTH", "1", "")
+			if got := other.Receive(); got != "1 GREEN  " {
+				t.Errorf("%q", got)
+			}
+		}
+		b.sink.batch.Add(1)
+	}
+}
+
 // For each reason that can close an open connection: open requests are abandoned once, requests that have ended
 // keep their final state, and other connections are not affected.
 func TestRequestsAfterEachCloseReason(t *testing.T) {
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,21 @@
 	gone    []*exchange.Exchange
 	answer  *exchange.Answer // given to every request at once, if set
 	gate    chan struct{}    // if set, blocks the reader in Arrived
+	batch   atomic.Uint64    // number of the last batch
+	paced   bool             // batch is set by the test; else each message finds a new batch
+}
+
+func (r *recordingSink) Batch() uint64 {
+	if r.paced {
+		return r.batch.Load()
+	}
+	return r.batch.Add(1)
+}
+
+func (r *recordingSink) AwaitBatch(after uint64) {
+	for r.Batch() == after {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 func (r *recordingSink) Arrived(x *exchange.Exchange) {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -43,6 +43,7 @@
 	outcome     pool.Outcome       // runEnded, unknownRunEnded
 	duration    time.Duration      // how long the run or the call took, or how long ago the event happened
 	body        []byte             // result of the run or the call; callNeeded: the statement
+	charged     int64              // bytes of the intake to release once the event was handled
 	cold        bool               // workerPoolUp: it started cold
 	recorded    bool               // runEnded: the result cache needs no further call
 	stored      bool               // runEnded: the result cache holds the result
@@ -65,14 +66,57 @@
 	n.mu.Lock()
 	n.events = append(n.events, e)
 	n.mu.Unlock()
+	n.wakeLoop()
+}
+
+// wakeLoop makes the loop run its next batch as soon as the batch interval allows.
+func (n *Node) wakeLoop() {
 	select {
 	case n.wake <- struct{}{}:
 	default:
 	}
 }
 
-// Arrived delivers a request that was read.
-func (n *Node) Arrived(x *exchange.Exchange) { n.post(event{kind: requestArrived, x: x}) }
+// Batch returns the number of the last batch that was handled.
+func (n *Node) Batch() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.batch
+}
+
+// AwaitBatch waits until a batch after the one with this number was handled, or the loop has ended.
+func (n *Node) AwaitBatch(after uint64) {
+	n.wakeLoop()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.batch == after && !n.ended {
+		n.batchDone.Wait()
+	}
+}
+
+// noteBatch counts a batch as handled and wakes those that wait for it.
+func (n *Node) noteBatch() {
+	n.mu.Lock()
+	n.batch++
+	n.mu.Unlock()
+	n.batchDone.Broadcast()
+}
+
+// stopIntake lets all readers go on that wait for the loop, since it has ended.
+func (n *Node) stopIntake() {
+	n.mu.Lock()
+	n.ended = true
+	n.mu.Unlock()
+	n.batchDone.Broadcast()
+	n.intake.close()
+}
+
+// Arrived delivers a request that was read. It waits while too much input waits for the
+// loop, so that only the reader of a connection may call it.
+func (n *Node) Arrived(x *exchange.Exchange) {
+	size := eventOverheadBytes + len(x.Body) + len(x.Unique) + len(x.Item)
+	n.post(event{kind: requestArrived, x: x, charged: n.intake.admit(size)})
+}
 
 // CallerGone notifies the node that nobody waits for a request any more.
 func (n *Node) CallerGone(x *exchange.Exchange) { n.post(event{kind: callerGone, x: x}) }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,6 +25,7 @@
 // ctx ends. It returns an error if the result cache cannot be restored or the module
 // rejects the settings.
 func (n *Node) Run(ctx context.Context) error {
+	defer n.stopIntake()
 	n.readClock()
 	if err := n.restore(); err != nil {
 		return err
@@ -97,9 +98,13 @@
 	n.readClock()
 	followUps := n.followUps
 	n.followUps = nil
+	charged := int64(0)
 	for _, e := range append(followUps, events...) { // guarded one by one: a panic loses one event only
 		n.guard(func() { n.handleEvent(e) })
+		charged += e.charged
 	}
+	n.intake.release(charged)
+	defer n.noteBatch()
 	n.guard(func() {
 		for len(n.timers) > 0 && n.timers[0].at <= n.now {
 			t := n.timers[0]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	Settings    rules.Settings
 	Seed        uint64                                   // of the module's random numbers
 	ResultBytes int                                      // bound for results held in memory, bytes
+	IntakeBytes int                                      // bound for requests that wait for the loop, bytes, 0 = 1 MiB
 	Health      func(good bool)                          // called when the module sets the health, may be nil
 	Load        func(Load)                               // called at each timer of the module, nil = not reported
 	LoadReport  func(shedding.LoadReport, shedding.View) // called after Load if the settings have a load shedder
@@ -79,10 +80,15 @@
 	clock      func() time.Duration // monotonic; negative before the start of this process
 	unixMillis func() float64       // Unix time, milliseconds
 
-	mu     sync.Mutex
-	events []event       // for the next batch
-	gauges []float64     // read last
-	wake   chan struct{} // signalled when an event is queued
+	intake *intake // bounds the requests in events
+
+	mu        sync.Mutex
+	events    []event       // for the next batch
+	gauges    []float64     // read last
+	wake      chan struct{} // signalled when an event is queued
+	batch     uint64        // number of the last batch that was handled
+	batchDone sync.Cond     // signalled, with mu, when a batch was handled or the loop has ended
+	ended     bool          // the loop has ended
 
 	// The fields below are used by the loop's goroutine only.
 	module         decisionModule
@@ -112,14 +118,19 @@
 // New returns a node. Attach must be called before Run.
 func New(cfg Config) *Node {
 	began := time.Now()
-	return &Node{
-		cfg: cfg, wake: make(chan struct{}, 1),
+	n := &Node{
+		cfg: cfg, wake: make(chan struct{}, 1), intake: newIntake(cfg.IntakeBytes),
 		clock:      func() time.Duration { return time.Since(began) },
 		unixMillis: func() float64 { return float64(time.Now().UnixMicro()) / 1000 },
 		requests:   map[rules.RequestID]*openRequest{}, byExchange: map[*exchange.Exchange]*openRequest{},
 		byTxn: map[string]struct{}{}, records: newRecordTable(cfg.ResultBytes),
 	}
+	n.batchDone.L = &n.mu
+	return n
 }
 
+// IntakeWaits returns how many requests had to wait until the loop had taken earlier ones.
+func (n *Node) IntakeWaits() int64 { return n.intake.waits.Load() }
+
 // Attach sets the server and the worker pool; it must be called before Run.
 func (n *Node) Attach(f Front, p Pool) { n.front, n.pool = f, p }
--- a/internal/node/resultcache.go
+++ b/internal/node/resultcache.go
@@ -244,9 +244,14 @@
 	}
 }
 
-// UnknownRunEnded delivers the end of a run that this incarnation did not start.
+// UnknownRunEnded delivers the end of a run that this incarnation did not start. It waits
+// while too much input waits for the loop: only the reader of the pool link may call it.
 func (n *Node) UnknownRunEnded(run string, outcome pool.Outcome, result []byte) {
-	n.post(event{kind: unknownRunEnded, runID: run, outcome: outcome, body: result})
+	if n.cfg.ResultCache == nil {
+		return // no request of a previous incarnation is known
+	}
+	charged := n.intake.admit(eventOverheadBytes + len(run) + len(result))
+	n.post(event{kind: unknownRunEnded, runID: run, outcome: outcome, body: result, charged: charged})
 }
 
 // fetchResult serves a request from a result that is only on the disk.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -49,7 +49,8 @@
 	NeverStarted                // nothing was started, as the request had ended
 )
 
-// Sink receives the worker pool's notices. Its methods must not block.
+// Sink receives the worker pool's notices. Its methods must not block, except for
+// UnknownRunEnded, which only the link's reader calls.
 type Sink interface {
 	// WorkerPoolUp notifies that the worker pool has been up for since, and whether it
 	// started cold. It is called for each link that the worker pool binds.
