--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -84,22 +84,31 @@
 	return n.batch
 }
 
-// AwaitBatch waits until a batch after the one with this number was handled, or the loop has ended.
+// AwaitBatch waits until a batch after the one with this number was handled, or the loop has ended. Each batch
+// lets only turnsPerBatch of the readers go on that wait, those that have waited longest first.
 func (n *Node) AwaitBatch(after uint64) {
 	n.wakeLoop()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for n.batch == after && !n.ended {
-		n.batchDone.Wait()
+	if n.batch != after || n.ended {
+		return
 	}
+	n.awaitingTurn++
+	n.turn.Wait()
 }
 
-// noteBatch counts a batch as handled and wakes those that wait for it.
+// noteBatch counts a batch as handled and lets the next readers go on.
 func (n *Node) noteBatch() {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.batch++
-	n.mu.Unlock()
-	n.batchDone.Broadcast()
+	for turns := 0; turns < turnsPerBatch && n.awaitingTurn > 0; turns++ {
+		n.awaitingTurn--
+		n.turn.Signal()
+	}
+	if n.awaitingTurn > 0 {
+		n.wakeLoop()
+	}
 }
 
 // stopIntake lets all readers go on that wait for the loop, since it has ended.
@@ -107,7 +116,7 @@
 	n.mu.Lock()
 	n.ended = true
 	n.mu.Unlock()
-	n.batchDone.Broadcast()
+	n.turn.Broadcast()
 	n.intake.close()
 }
 
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -174,3 +174,46 @@
 	r.wantNoAnswer(x)
 	r.wantEmpty()
 }
+
+// Guards against connections that are not read while others flood: each batch lets only a few of the readers go on
+// that wait, in their order, and a batch follows while any waits.
+func TestReadersTakeTurns(t *testing.T) {
+	const readers = 2*turnsPerBatch + 1
+	r := newRig(t, defaultSettings(), true)
+	returned := make(chan int, readers)
+	for i := range readers {
+		go func() {
+			r.AwaitBatch(r.Batch())
+			returned <- i
+		}()
+		standin.Eventually(t, "the reader waits", func() bool {
+			r.Node.mu.Lock()
+			defer r.Node.mu.Unlock()
+			return r.awaitingTurn == i+1
+		})
+	}
+	<-r.wake
+	for first := 0; first < readers; first += turnsPerBatch {
+		r.runBatch()
+		turns := map[int]bool{}
+		for range min(turnsPerBatch, readers-first) {
+			turns[<-returned] = true
+		}
+		for i := first; i < min(first+turnsPerBatch, readers); i++ {
+			if !turns[i] {
+				t.Errorf("reader %d had no turn: %v", i, turns)
+			}
+		}
+		select {
+		case i := <-returned:
+			t.Errorf("reader %d went on before its turn", i)
+		case <-time.After(10 * time.Millisecond):
+		}
+		if more := first+turnsPerBatch < readers; more != (len(r.wake) == 1) {
+			t.Errorf("more readers wait: %v, the loop is woken: %v", more, len(r.wake) == 1)
+		}
+		if len(r.wake) == 1 {
+			<-r.wake
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,13 +82,14 @@
 
 	intake *intake // bounds the requests in events
 
-	mu        sync.Mutex
-	events    []event       // for the next batch
-	gauges    []float64     // read last
-	wake      chan struct{} // signalled when an event is queued
-	batch     uint64        // number of the last batch that was handled
-	batchDone sync.Cond     // signalled, with mu, when a batch was handled or the loop has ended
-	ended     bool          // the loop has ended
+	mu           sync.Mutex
+	events       []event       // for the next batch
+	gauges       []float64     // read last
+	wake         chan struct{} // signalled when an event is queued
+	batch        uint64        // number of the last batch that was handled
+	turn         sync.Cond     // signalled, with mu, for each reader that may go on
+	awaitingTurn int           // readers that wait for turn
+	ended        bool          // the loop has ended
 
 	// The fields below are used by the loop's goroutine only.
 	module         decisionModule
@@ -125,7 +126,7 @@
 		requests:   map[rules.RequestID]*openRequest{}, byExchange: map[*exchange.Exchange]*openRequest{},
 		byTxn: map[string]struct{}{}, records: newRecordTable(cfg.ResultBytes),
 	}
-	n.batchDone.L = &n.mu
+	n.turn.L = &n.mu
 	return n
 }
 
