--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -206,7 +206,7 @@
 		}
 		select {
 		case i := <-returned:
-			t.Errorf("reader %d went on before its turn", i)
+			t.Fatalf("reader %d went on before its turn", i)
 		case <-time.After(10 * time.Millisecond):
 		}
 		if more := first+turnsPerBatch < readers; more != (len(r.wake) == 1) {
