--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -180,8 +181,12 @@
 	delete(s.streams, x)
 }
 
-// truncate cuts a string from outside to 128 bytes.
-func truncate(s string) string { return s[:min(len(s), 128)] }
+// maxTextBytes is how many bytes of a text from outside are kept.
+const maxTextBytes = 128
+
+// truncate cuts a text from outside to maxTextBytes, between two characters: the encoding of resources rejects
+// invalid UTF-8.
+func truncate(s string) string { return strings.ToValidUTF8(s[:min(len(s), maxTextBytes)], "") }
 
 // receive passes a request to the stream's state machine.
 func (x *stream) receive(node *corev3.Node, request xds.Request) error {
