A node that leaves closes its listener though connections keep coming

Cause: listener.next closed only after two waits of 1 ms in which no connection came. Change: it closes 0.5 s after StopListening at the latest; what comes then is refused, with nothing run, which the protocol allows.

TestStopListeningUnderConnections failed before (accepts after 5 s) and passes; go test ./internal/front passes.

--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -21,6 +21,8 @@
 	net.Listener
 	server *Server
 	ctx    context.Context
+
+	finalSince time.Time // when Accept first found that StopListening was called
 }
 
 // Accept returns the next connection as a *client, once there is a free slot and the limiter admits it. It
@@ -64,13 +66,22 @@
 }
 
 // next accepts one connection. After StopListening it still accepts the connections in the kernel's accept
-// queue, which may carry requests already, before it closes the listener, since closing resets them.
+// queue, which may carry requests already, before it closes the listener, since closing resets them. Connections
+// that keep coming do not keep it open for longer than finalAcceptLimit.
 func (l *listener) next() (net.Conn, error) {
 	d, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
 	for timeouts := 0; ; {
 		final := ok && l.server.stopAccepting.Load()
 		if final {
-			_ = d.SetDeadline(time.Now().Add(finalAcceptTimeout))
+			now := time.Now()
+			if l.finalSince.IsZero() {
+				l.finalSince = now
+			}
+			if now.Sub(l.finalSince) > finalAcceptLimit {
+				_ = l.Listener.Close()
+				return nil, net.ErrClosed
+			}
+			_ = d.SetDeadline(now.Add(finalAcceptTimeout))
 		}
 		c, err := l.Listener.Accept()
 		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -266,6 +267,43 @@
 	}
 }
 
+// endlessListener has another connection whenever it is asked.
+type endlessListener struct {
+	net.Listener
+	closed atomic.Bool
+}
+
+func (l *endlessListener) Accept() (net.Conn, error) {
+	near, far := net.Pipe()
+	far.Close()
+	return near, nil
+}
+
+func (l *endlessListener) SetDeadline(time.Time) error { return nil }
+
+func (l *endlessListener) Close() error {
+	l.closed.Store(true)
+	return nil
+}
+
+// Guards against a node that leaves and accepts until its stop: connections that keep coming do not keep the listener
+// open.
+func TestStopListeningUnderConnections(t *testing.T) {
+	endless := &endlessListener{}
+	l := &listener{Listener: endless, server: startServer(t, nil).Server, ctx: t.Context()}
+	l.server.stopAccepting.Store(true)
+	for began := time.Now(); ; {
+		c, err := l.next()
+		if errors.Is(err, net.ErrClosed) && endless.closed.Load() {
+			break
+		}
+		if err != nil || time.Since(began) > 5*time.Second {
+			t.Fatalf("accepts after %v, %v", time.Since(began), err)
+		}
+		c.Close()
+	}
+}
+
 // A dispatcher that writes and reads one byte at a time is served like any other.
 func TestByteByByte(t *testing.T) {
 	b := startServer(t, nil)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -49,9 +49,10 @@
 	maxLingering = 8 // closing connections while no slot is free; no further one is closed to free a slot
 
 	// After StopListening the listener closes after finalAcceptTimeouts waits of finalAcceptTimeout each in
-	// which the kernel's accept queue had no connection.
+	// which the kernel's accept queue had no connection, and after finalAcceptLimit in any case.
 	finalAcceptTimeout  = time.Millisecond
 	finalAcceptTimeouts = 2
+	finalAcceptLimit    = 500 * time.Millisecond
 )
 
 // Sink receives the requests of dispatchers.
