A keyed run that was cut off does not run again after a restart

Cause: Node.storeOutcome withdrew the stored intent for every end but a result or an error, though a cancelled run has started. Change: the end of a keyed or unsafe run that was cancelled is stored as run without a result, so that repeats fail; the intent of one that never started is still withdrawn.

TestRunThatWasCutOffDoesNotRunAgain failed before (it ran again, on the same worker pool and on a new one), and passes. go test -race ./internal/node passes.

--- a/internal/node/resultcache.go
+++ b/internal/node/resultcache.go
@@ -210,8 +210,10 @@
 	if !record {
 		return false
 	}
-	switch e.outcome {
-	case pool.Complete:
+	// A cancelled run had started: only a safe one may run again.
+	hasRun := e.outcome == pool.Error || e.outcome == pool.Cancelled && !req.x.Safe
+	switch {
+	case e.outcome == pool.Complete:
 		n.cfg.ResultCache.RunEnded(n.now, req.x, n.recordExpiry(req), true, e.body, func(hasResult bool) {
 			followUp := e
 			followUp.recorded, followUp.stored, followUp.answered = true, hasResult, true
@@ -219,7 +221,7 @@
 			n.post(followUp)
 		})
 		return true
-	case pool.Error:
+	case hasRun:
 		n.cfg.ResultCache.RunEnded(n.now, req.x, n.recordExpiry(req), false, nil, nil)
 	default:
 		n.cfg.ResultCache.Withdraw(req.x)
--- a/internal/node/resultcache_test.go
+++ b/internal/node/resultcache_test.go
@@ -211,6 +211,34 @@
 	b.wantAnswer(z, exchange.Served, "result")
 }
 
+// Guards against a keyed request that runs again after a restart: a run that was cut off, as at a call whose request is
+// over, had its intent withdrawn as if it had never started.
+func TestRunThatWasCutOffDoesNotRunAgain(t *testing.T) {
+	long := func(_ *config.Results, set *rules.Settings) { set.Classes[1].IdempotencyWindow = 10 * time.Second }
+	for name, poolUpFor := range map[string]time.Duration{"same worker pool": time.Hour, "new worker pool": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			disk := vfs.NewMem(false)
+			a := startIncarnation(t, disk, 1000, time.Hour, long)
+			x := a.send(1, withKey("k"))
+			a.eventually("the run", func() bool { return a.hasRun(x) })
+			a.RunEnded(x, pool.Cancelled, time.Millisecond, nil)
+			a.eventually("the answer", func() bool { return a.hasAnswer(x) })
+			a.wantAnswer(x, exchange.Failed, "")
+			z := a.send(1, withKey("z")) // its result is stored after the end of the first run
+			a.eventually("the run", func() bool { return a.hasRun(z) })
+			a.RunEnded(z, pool.Complete, time.Millisecond, []byte("result"))
+			a.eventually("the answer", func() bool { return a.hasAnswer(z) })
+			b := startIncarnation(t, disk.Clone(), 1200, poolUpFor, long)
+			y := b.send(1, withKey("k"))
+			b.eventually("a run or an answer", func() bool { return b.hasRun(y) || b.hasAnswer(y) })
+			b.wantAnswer(y, exchange.Failed, "")
+			if b.hasRun(y) {
+				t.Error("it ran again")
+			}
+		})
+	}
+}
+
 // A repeat that arrives 1 ms before its result expires gets it; 1 ms after, it runs. The
 // time during which the node was down counts.
 func TestAgedOut(t *testing.T) {
