A pool link that moves before its replay has ended sends no command on it

Seen by reading, not by callers: where the address changed between the end of settle and the close of a link that was not ready, the replay could end in between; what it sent was then in doubt, and keyed and unsafe requests failed. Change: a link that moves is marked before its readiness is asked, and a marked one ends no replay. TestMoveDuringReplay failed before (a run started on the old link) and passes. Tests can set the time that settling takes, so that TestMoveLeavesNoRunInDoubt does not depend on the speed of the machine. go test -race ./internal/pool passes.

--- a/internal/pool/move.go
+++ b/internal/pool/move.go
@@ -51,18 +51,22 @@
 // the link ends.
 func (l *Link) settle(ctx context.Context, c *stream.Conn) {
 	l.mu.Lock()
-	if !l.ready || l.conn != c { // nothing was sent on it
+	if l.conn != c {
 		l.mu.Unlock()
 		return
 	}
 	s := &settling{order: l.lastOrder, done: make(chan struct{})}
 	l.settling = s
+	if !l.ready { // nothing was sent on it, and nothing will be
+		l.mu.Unlock()
+		return
+	}
 	sendCommand(c, command{Op: "poll", Tag: s.tag()})
 	l.mu.Unlock()
 	select {
 	case <-s.done:
 	case <-ctx.Done():
-	case <-time.After(settleTimeout):
+	case <-time.After(l.settleTimeout):
 	}
 }
 
--- a/internal/pool/notices.go
+++ b/internal/pool/notices.go
@@ -117,7 +117,7 @@
 	l.mu.Lock()
 	switch {
 	case !l.ready:
-		if n.Tag == l.replayTag() {
+		if n.Tag == l.replayTag() && l.settling == nil {
 			failed = l.endReplay()
 		}
 	case l.settling != nil && n.Tag == l.settling.tag():
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -110,8 +110,8 @@
 	log            *slog.Logger
 	addressChanged chan struct{} // signalled when addr has changed
 
-	silenceTimeout, bindTimeout time.Duration    // the constants, shorter in tests
-	retryBackoff                *backoff.Backoff // of attempts to connect, nil = doubling waits
+	silenceTimeout, bindTimeout, settleTimeout time.Duration    // the constants, other ones in tests
+	retryBackoff                               *backoff.Backoff // of attempts to connect, nil = doubling waits
 
 	mu        sync.Mutex
 	addr      string
@@ -138,7 +138,8 @@
 func New(addr string, sink Sink, log *slog.Logger) *Link {
 	return &Link{
 		addr: addr, sink: sink, log: log, addressChanged: make(chan struct{}, 1),
-		silenceTimeout: silenceTimeout, bindTimeout: bindTimeout, runs: map[string]*run{},
+		silenceTimeout: silenceTimeout, bindTimeout: bindTimeout, settleTimeout: settleTimeout,
+		runs: map[string]*run{},
 	}
 }
 
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -186,6 +186,10 @@
 func TestMoveLeavesNoRunInDoubt(t *testing.T) {
 	l, sink, w := startLink(t)
 	w.bind(1, 0)
+	standin.Eventually(t, "the link", l.isReady)
+	l.mu.Lock()
+	l.settleTimeout = time.Minute // however slow the test is
+	l.mu.Unlock()
 	l.StartRun(request("a", false))
 	w.expect(spawnLine("a"))
 	next := &stubPool{t: t, ln: standin.Listen(t)}
@@ -209,6 +213,29 @@
 	w.c.Close()
 }
 
+// A link that is about to move before its replay has ended sends no command any more, which the move would leave in
+// doubt.
+func TestMoveDuringReplay(t *testing.T) {
+	l, sink, w := startLink(t)
+	w.accept(0)
+	w.send(`{"op":"bound","end":"hot","ms":5}`)
+	w.expect(`{"op":"poll","tag":"r1"}`)
+	l.StartRun(request("a", false))
+	l.mu.Lock()
+	c := l.conn
+	l.mu.Unlock()
+	l.settle(t.Context(), c)
+	w.send(`{"op":"polled","tag":"r1","values":[0,0]}`)
+	w.expectSilence()
+	w.c.Close()
+	w.replay(2, 0)
+	w.expect(spawnLine("a"))
+	w.send(finishedLine(1, "a", "complete"))
+	if got := outcomes(t, sink, 1); got["a"] != Complete {
+		t.Errorf("ended: %v", got)
+	}
+}
+
 // A worker pool that does not answer, or a link that breaks, does not keep a link from moving.
 func TestMoveIsBounded(t *testing.T) {
 	for name, do := range map[string]func(w *stubPool){
