--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -78,9 +78,8 @@
 	}
 }
 
-// An incomplete message has an age until it is whole.
-func TestPartialAge(t *testing.T) {
-	c, peer := pair(t, defaultLimits, &Traffic{}, nil)
+// readSizes reads until the connection ends and returns a channel with the size of each read.
+func readSizes(c *Conn) <-chan int {
 	read := make(chan int)
 	go func() {
 		buf := make([]byte, 64)
@@ -92,6 +91,13 @@
 			read <- n
 		}
 	}()
+	return read
+}
+
+// An incomplete message has an age until it is whole.
+func TestPartialAge(t *testing.T) {
+	c, peer := pair(t, defaultLimits, &Traffic{}, nil)
+	read := readSizes(c)
 	peer.Write([]byte("ab"))
 	for c.PartialAge(time.Now()) == 0 {
 		time.Sleep(time.Millisecond)
@@ -107,17 +113,7 @@
 // one took over its age, so that the connection was closed as stalled. One that never ends keeps its own age.
 func TestPartialAgeIsOfTheLastMessage(t *testing.T) {
 	c, peer := pair(t, defaultLimits, &Traffic{}, nil)
-	read := make(chan int)
-	go func() {
-		buf := make([]byte, 64)
-		for {
-			n, err := c.Read(buf)
-			if err != nil {
-				return
-			}
-			read <- n
-		}
-	}()
+	read := readSizes(c)
 	partial := func() bool { return c.PartialAge(time.Now()) > 0 }
 	write := func(p string) time.Time {
 		began := time.Now()
