store: the writer reads the active segment's garbage under the lock

Cause: waitForSpace read segment.liveBytes, which a compaction changes under Store.mu, after it had released the lock. Beside the race detector the harm is an early or late rotation of the active segment.

Change: spaceNeeded reads all figures under one read lock. TestWriterLooksForSpaceDuringRelocations forces the order: with the old code it failed 3 of 3 under the race detector, at that line; now it passed 3 of 3.

--- a/internal/store/concurrent_test.go
+++ b/internal/store/concurrent_test.go
@@ -117,3 +117,50 @@
 		}
 	}
 }
+
+// Compaction may remove live bytes from the active segment while the writer looks for garbage in it. Under the
+// race detector this test fails if the writer reads them without the lock.
+func TestWriterLooksForSpaceDuringRelocations(t *testing.T) {
+	s, _, err := Open(filepath.Join(t.TempDir(), "store"), Options{SlackBytes: 4 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	stop := make(chan struct{})
+	var relocations sync.WaitGroup
+	relocations.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			s.mu.Lock()
+			for id := range s.segments {
+				it := item{key: "k", segmentID: id}
+				s.addLiveBytes(&it, 1)
+				s.addLiveBytes(&it, -1)
+			}
+			s.mu.Unlock()
+		}
+	})
+	var b Batch
+	b.Put("k", []byte(strings.Repeat("x", 600)), 0) // most of a segment, and no garbage: the segment stays active
+	if err := s.Apply(&b, Buffered); err != nil {
+		t.Fatal(err)
+	}
+	const excess = 1 << 20 // keeps the store over its bound, so that the writer looks for garbage
+	s.mu.Lock()
+	s.diskBytes += excess
+	s.mu.Unlock()
+	for range 4 {
+		if err := s.runInWriter(func() error { s.waitForSpace(nil); return nil }); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.mu.Lock()
+	s.diskBytes -= excess
+	s.mu.Unlock()
+	close(stop)
+	relocations.Wait()
+}
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -250,13 +250,11 @@
 		size += write.size + recordHeaderSize
 	}
 	for range 8 {
-		s.mu.RLock()
-		over := s.diskBytes+size > 2*(s.liveBytes+size)+s.opt.SlackBytes
-		s.mu.RUnlock()
+		over, activeGarbage := s.spaceNeeded(size)
 		if !over || s.compactionFailing.Load() { // a full disk must not delay writes: they fail, or still fit
 			return
 		}
-		if s.active != nil && s.active.end-s.active.liveBytes > s.opt.segmentSize()/2 {
+		if activeGarbage > s.opt.segmentSize()/2 {
 			if err := s.rotate(); err != nil {
 				return // the write that follows will fail with the same error
 			}
@@ -270,6 +268,17 @@
 	}
 }
 
+// spaceNeeded reports whether size more bytes would exceed the bound of disk use, and how many bytes of the
+// active segment are garbage. Only the writer may call it.
+func (s *Store) spaceNeeded(size int64) (over bool, activeGarbage int64) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.active != nil {
+		activeGarbage = s.active.end - s.active.liveBytes
+	}
+	return s.diskBytes+size > 2*(s.liveBytes+size)+s.opt.SlackBytes, activeGarbage
+}
+
 // syncBeforeExit syncs all acknowledged writes before the writer ends.
 func (s *Store) syncBeforeExit() {
 	_ = s.syncActive() // Close has synced before, and returned its error
