A request of another body under a used key fails after a restart too

Callers saw the result of a key's own request as the answer to a request with another body, once the node had restarted with [results] on; before the restart that request fails.

Cause: the stored record had no trace of the body, and a record whose body is not known matches any. The hash used within a process has a seed of its own process and could not be stored.

Records of earlier versions lack the field and match any body, as before.

TestKeyConflictAfterRestart: without the comparison both parts failed (the conflicting request got 'result', or waited for the run of the other); with it they pass.

--- a/decide/resultcache/module.go
+++ b/decide/resultcache/module.go
@@ -73,6 +73,8 @@
 	Window  int64        // Keyed: the window that the class had then, milliseconds
 	Expires int64
 	Size    int64 // of the result, bytes
+
+	BodyHash uint64 // Keyed: of the request's body, 0 = not known
 }
 
 // recordOverhead is what a record takes besides its names and its result, in bytes.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -5,6 +5,8 @@
 package exchange
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"sync/atomic"
 	"time"
 )
@@ -88,6 +90,13 @@
 	Safe          bool    // may run any number of times
 }
 
+// BodyHash returns a hash of the body that is the same in every process, never 0: it
+// distinguishes the bodies of requests under one idempotency key.
+func (r *Request) BodyHash() uint64 {
+	sum := sha256.Sum256(r.Body)
+	return binary.BigEndian.Uint64(sum[:]) | 1
+}
+
 // Exchange is one request and its final state.
 type Exchange struct {
 	Request
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -72,9 +72,6 @@
 	return ""
 }
 
-// hashBody distinguishes the bodies of requests under one key; it is never 0.
-func hashBody(body []byte) uint64 { return maphash.Bytes(hashSeed, body) | 1 }
-
 // find returns the earlier request that x repeats, 0 for none. A record applies to
 // every request that reached the host before the record expired, however late it is
 // read. A keyed request with another body repeats nothing and is reported as a conflict:
@@ -88,7 +85,7 @@
 		x.Safe && rec.ended && !rec.succeeded && !rec.failRepeats {
 		return 0, false
 	}
-	return rec.holder, !x.Safe && rec.bodyHash != 0 && rec.bodyHash != hashBody(x.Body)
+	return rec.holder, !x.Safe && rec.bodyHash != 0 && rec.bodyHash != x.BodyHash()
 }
 
 // keepRecord creates or renews the record of a request.
@@ -98,7 +95,7 @@
 		return
 	}
 	t.remove(t.byKey[key])
-	req.record = &record{key: key, bodyHash: hashBody(req.x.Body), holder: req.id, expires: expires}
+	req.record = &record{key: key, bodyHash: req.x.BodyHash(), holder: req.id, expires: expires}
 	t.byKey[key] = req.record
 }
 
--- a/internal/node/resultcache.go
+++ b/internal/node/resultcache.go
@@ -93,7 +93,7 @@
 			}
 			continue
 		}
-		rec := &record{key: "u" + r.Key, holder: r.id, expires: r.Expires, storeKey: r.Key}
+		rec := &record{key: "u" + r.Key, bodyHash: r.Record.BodyHash, holder: r.id, expires: r.Expires, storeKey: r.Key}
 		if r.Record.Effect == rules.Safe {
 			rec.key = "i" + r.Key
 		}
--- a/internal/node/resultcache_test.go
+++ b/internal/node/resultcache_test.go
@@ -239,6 +239,40 @@
 	}
 }
 
+// Guards against a result that answers a request of another body: after a restart nothing was known of the body of a
+// recorded run, so that a conflicting request under its key got its result, or waited for it.
+func TestKeyConflictAfterRestart(t *testing.T) {
+	body := func(text string) func(*exchange.Request) {
+		return func(request *exchange.Request) { request.Unique, request.Body = "k", []byte(text) }
+	}
+	for name, ends := range map[string]bool{"a result": true, "a run in progress": false} {
+		t.Run(name, func(t *testing.T) {
+			disk := vfs.NewMem(false)
+			a := startIncarnation(t, disk, 1000, time.Hour, nil)
+			x := a.send(1, body("mine"))
+			a.eventually("the run", func() bool { return a.hasRun(x) })
+			if ends {
+				a.RunEnded(x, pool.Complete, time.Millisecond, []byte("result"))
+				a.eventually("the answer", func() bool { return a.hasAnswer(x) })
+			}
+			b := startIncarnation(t, disk.Clone(), 1050, time.Hour, nil)
+			conflicting := b.send(1, body("theirs"))
+			b.eventually("an answer", func() bool { return b.hasAnswer(conflicting) || b.hasRun(conflicting) })
+			b.wantAnswer(conflicting, exchange.Failed, "")
+			if b.hasRun(conflicting) {
+				t.Error("it ran")
+			}
+			repeat := b.send(1, body("mine"))
+			if !ends {
+				b.runBatches()
+				b.UnknownRunEnded(x.Txn, pool.Complete, []byte("result"))
+			}
+			b.eventually("the answer", func() bool { return b.hasAnswer(repeat) })
+			b.wantAnswer(repeat, exchange.Served, "result")
+		})
+	}
+}
+
 // A repeat that arrives 1 ms before its result expires gets it; 1 ms after, it runs. The
 // time during which the node was down counts.
 func TestAgedOut(t *testing.T) {
--- a/internal/resultcache/cache.go
+++ b/internal/resultcache/cache.go
@@ -187,7 +187,7 @@
 		Arrived: c.module.Unix(now), Expires: c.module.Unix(expires),
 	}
 	if class.Effect == rules.Keyed {
-		record.Window = class.IdempotencyWindow.Milliseconds()
+		record.Window, record.BodyHash = class.IdempotencyWindow.Milliseconds(), x.BodyHash()
 	}
 	return record
 }
@@ -270,6 +270,7 @@
 	text, err := c.encoder.Marshal(storedRecord{
 		Kind: record.Kind, Effect: record.Effect, Class: record.Class, Tenant: record.Tenant, Name: record.Name, Run: record.Run,
 		Arrived: record.Arrived, Window: record.Window, Expires: record.Expires, Size: record.Size,
+		BodyHash: record.BodyHash,
 	})
 	if err != nil { // the type can always be encoded
 		panic(err)
--- a/internal/resultcache/restore.go
+++ b/internal/resultcache/restore.go
@@ -26,6 +26,8 @@
 	Window  int64        `cbor:"8,keyasint"`
 	Expires int64        `cbor:"9,keyasint"`
 	Size    int64        `cbor:"10,keyasint"`
+
+	BodyHash uint64 `cbor:"11,keyasint,omitempty"` // 0 in records of versions that did not store it
 }
 
 // RestoredRecord is a record of an earlier incarnation.
@@ -152,5 +154,6 @@
 		RequestKey: decide.RequestKey{Class: s.Class, Tenant: s.Tenant, Name: s.Name},
 		Kind:       s.Kind, Effect: s.Effect, Run: s.Run,
 		Arrived: s.Arrived, Window: s.Window, Expires: s.Expires, Size: s.Size,
+		BodyHash: s.BodyHash,
 	}
 }
