A store that was there is unverified until a control service answers

Callers' keyed requests ran a second time: a node whose results directory was put back as an older copy, and whose control service was away at its start, took the copy for complete.

Cause: NewStoreCheck took only a store created by this incarnation for unverified. Whether a store is an older copy is known only once a service has answered.

Change: with control services configured every store is unverified until the first answer, 3 s at most.

They ask for more than before: with the defence off all keys of a node run again, with it none does and each repeat fails, and with an unchanged directory each repeat gets its earlier result. TestIntegrity expected a store without any report to be intact; it expects unverified now, and intact where no service is configured or none knows an earlier incarnation.

--- a/decide/recovery/storecheck.go
+++ b/decide/recovery/storecheck.go
@@ -38,7 +38,7 @@
 // The values of Integrity.
 const (
 	Intact     Integrity = iota // no evidence of loss
-	Unverified                  // the store is new, and it is not known yet whether there was an earlier one
+	Unverified                  // no control service has said yet what earlier incarnations reported
 	Incomplete                  // something that an earlier incarnation stored is missing
 )
 
@@ -49,7 +49,7 @@
 
 // Parameters of StoreCheck.
 const (
-	previousStoreWait = 3 * time.Second // four reports; without an answer a new store then counts as the first
+	previousStoreWait = 3 * time.Second // four reports; without an answer the store then counts as complete
 	poolAgeMargin     = time.Second     // a worker pool older than the process by more served an earlier incarnation
 	minKeyShare       = 0.9             // share of the keys counted by the last checkpoint that must be there
 	maxMissingKeys    = 16              // may be missing beyond that: deleted since the last checkpoint
@@ -98,8 +98,12 @@
 	case float64(found.Keys) < minKeyShare*float64(found.Checkpoint.Keys)-maxMissingKeys:
 		c.markIncomplete(fmt.Sprintf("it has %d keys, the previous incarnation counted %d",
 			found.Keys, found.Checkpoint.Keys))
-	case found.Created && pendingAnswers > 0:
-		c.integrity, c.unverifiedUntil, c.reason = Unverified, processStart+previousStoreWait, "the results directory was empty"
+	case pendingAnswers > 0: // it may be new, or an older copy
+		c.integrity, c.unverifiedUntil = Unverified, processStart+previousStoreWait
+		c.reason = "no control service has confirmed the results directory yet"
+		if found.Created {
+			c.reason = "the results directory was empty"
+		}
 	}
 	return c
 }
@@ -122,7 +126,7 @@
 		// As far as the control services know, this is the first incarnation.
 		if c.integrity == Unverified && c.pendingAnswers <= 0 {
 			c.integrity, c.reason = Intact, ""
-			return "no earlier incarnation of this node is known: its empty store is complete"
+			return "no earlier incarnation of this node is known: its store counts as complete"
 		}
 		return ""
 	}
@@ -166,7 +170,7 @@
 
 // Integrity returns the integrity of the store now, and the reason if it is not Intact.
 func (c *StoreCheck) Integrity(now time.Duration) (Integrity, string) {
-	// Without an answer the store counts as the first of this node; the operators' page says what cannot be known.
+	// Without an answer the store counts as complete; the operators' page says what cannot be known.
 	if c.integrity == Unverified && now >= c.unverifiedUntil {
 		c.integrity, c.reason = Intact, ""
 	}
--- a/decide/recovery/storecheck_test.go
+++ b/decide/recovery/storecheck_test.go
@@ -30,12 +30,15 @@
 		found        func() FoundState
 		previous     *PreviousStore // nil = no report
 		noneReported bool           // a control service reported that there was no earlier incarnation
+		noServices   bool           // no control service can be asked
 		pool         time.Duration
 		want         Integrity
 	}{
 		{name: "complete", found: completeStore, previous: &PreviousStore{ID: "a", Epoch: 3, Checkpoint: 9}, want: Intact},
 		{name: "incarnations that were not reported", found: completeStore, previous: &PreviousStore{ID: "a", Epoch: 1, Checkpoint: 2}, want: Intact},
-		{name: "no report", found: completeStore, want: Intact},
+		{name: "no report yet of a complete store", found: completeStore, want: Unverified},
+		{name: "none reported of a complete store", found: completeStore, noneReported: true, want: Intact},
+		{name: "no control service", found: completeStore, noServices: true, want: Intact},
 		{name: "first start", found: func() FoundState { return empty }, noneReported: true, want: Intact},
 		{name: "no report yet", found: func() FoundState { return empty }, want: Unverified},
 		{name: "emptied", found: func() FoundState { return empty }, previous: &PreviousStore{ID: "a", Epoch: 3}, want: Incomplete},
@@ -46,9 +49,16 @@
 		{name: "store of another node", found: func() FoundState { f := completeStore(); f.Node = "n2"; return f }, want: Incomplete},
 		{name: "half of the keys", found: func() FoundState { f := completeStore(); f.Keys = 50; return f }, want: Incomplete},
 		{name: "unreadable places", found: func() FoundState { f := completeStore(); f.UnreadablePlaces = 1; return f }, want: Incomplete},
-		{name: "a few keys fewer", found: func() FoundState { f := completeStore(); f.Keys = 90; return f }, want: Intact},
+		{
+			name: "a few keys fewer", found: func() FoundState { f := completeStore(); f.Keys = 90; return f },
+			previous: &PreviousStore{ID: "a", Epoch: 3, Checkpoint: 9}, want: Intact,
+		},
 	} {
-		check := NewStoreCheck(processStart, c.found(), 1)
+		services := 1
+		if c.noServices {
+			services = 0
+		}
+		check := NewStoreCheck(processStart, c.found(), services)
 		if c.pool != 0 {
 			check.WorkerPoolUp(c.pool)
 		}
@@ -105,13 +115,16 @@
 		check.MayHaveRun(processStart+window-time.Second, rules.Keyed, window, 0, true, 0) {
 		t.Error("requests are in doubt for less or more than the window of the previous incarnation")
 	}
-	// Unverified ends even without a report.
-	check = NewStoreCheck(processStart, FoundState{
-		Identity: Identity{ID: "b", Epoch: 1}, Created: true, CompleteSince: math.MinInt64,
-	}, 1)
-	if !check.MayHaveRun(processStart+1, rules.Keyed, window, 0, true, 0) ||
-		check.MayHaveRun(processStart+previousStoreWait, rules.Keyed, window, 0, true, 0) {
-		t.Error("without a report requests are not in doubt, or still are after the wait")
+	// Unverified ends even without a report. A store that was there may be an older copy.
+	for name, found := range map[string]FoundState{
+		"new":      {Identity: Identity{ID: "b", Epoch: 1}, Created: true, CompleteSince: math.MinInt64},
+		"existing": completeStore(),
+	} {
+		check = NewStoreCheck(processStart, found, 1)
+		if !check.MayHaveRun(processStart+1, rules.Keyed, window, 0, true, 0) ||
+			check.MayHaveRun(processStart+previousStoreWait, rules.Keyed, window, 0, true, 0) {
+			t.Errorf("%s store: without a report requests are not in doubt, or still are after the wait", name)
+		}
 	}
 }
 
--- a/internal/recovery/manager.go
+++ b/internal/recovery/manager.go
@@ -228,7 +228,8 @@
 	}
 	m.storeCheck = decide.NewStoreCheck(processStart, m.foundState, m.cfg.ControlServices)
 	m.storedSince = m.foundState.CompleteSince
-	if integrity, _ := m.storeCheck.Integrity(now); integrity != decide.Intact {
+	integrity, _ := m.storeCheck.Integrity(now)
+	if integrity == decide.Incomplete || integrity == decide.Unverified && m.foundState.Created {
 		m.reportIntegrity(m.storeCheck.Describe())
 	}
 }
--- a/internal/standin/fleet/recovery_test.go
+++ b/internal/standin/fleet/recovery_test.go
@@ -57,7 +57,7 @@
 folder = %s
 `
 
-// A restarted node finds its results directory empty, replaced by an older copy, or swapped with another
+// Guards against keyed requests that run again. A restarted node finds its results directory empty, replaced by an older copy, or swapped with another
 // node's. With [comeback] it detects the loss, since the control service knows the previous incarnation,
 // and no keyed request runs a second time within its window; without [comeback] some do. A directory
 // that is unchanged counts as complete.
@@ -73,21 +73,22 @@
 	} {
 		t.Run(c.folder, func(t *testing.T) {
 			t.Parallel()
-			plain := run(t, scenario(t, fmt.Sprintf(lostResults, c.nodes, "off", c.folder)), opt)
-			if plain.RanAgainAfterRestart == 0 {
-				t.Error("without [comeback] no request ran again: the fault has no effect")
+			plain, repeats := runWithKeyedCaller(t, scenario(t, fmt.Sprintf(lostResults, c.nodes, "off", c.folder)), opt)
+			if plain.RanAgainAfterRestart < keysPerNode || repeats.otherResult < keysPerNode {
+				t.Errorf("without [comeback] %d requests ran again, %d of the stated keys: the fault has no effect",
+					plain.RanAgainAfterRestart, repeats.otherResult)
 			}
-			var f *Fleet
 			opt := opt
 			var log string
-			opt.OnStarted = func(started *Fleet) { f = started }
 			opt.LogDir = t.TempDir()
-			r := run(t, scenario(t, fmt.Sprintf(lostResults, c.nodes, "on", c.folder)), opt)
-			for i := range f.Nodes() {
+			r, repeats := runWithKeyedCaller(t, scenario(t, fmt.Sprintf(lostResults, c.nodes, "on", c.folder)), opt)
+			for i := range c.nodes {
 				log += nodeLog(t, opt.LogDir, i)
 			}
-			if r.RanAgainAfterRestart > 0 || !strings.Contains(log, c.logged) {
-				t.Errorf("%d requests ran again; the nodes logged %s", r.RanAgainAfterRestart, matchingLines(log, "memory"))
+			if r.RanAgainAfterRestart > 0 || repeats.otherResult > 0 || repeats.failed < keysPerNode ||
+				!strings.Contains(log, c.logged) {
+				t.Errorf("%d requests ran again, repeats %+v; the nodes logged %s",
+					r.RanAgainAfterRestart, repeats, matchingLines(log, "memory"))
 			}
 		})
 	}
@@ -95,9 +96,11 @@
 		t.Parallel()
 		opt := opt
 		opt.LogDir = t.TempDir()
-		r := run(t, scenario(t, fmt.Sprintf(lostResults, 1, "on", "keep")), opt)
-		if log := nodeLog(t, opt.LogDir, 0); r.RanAgainAfterRestart > 0 || strings.Contains(log, "memory lost") {
-			t.Errorf("%d requests ran again; the node logged %s", r.RanAgainAfterRestart, matchingLines(log, "memory"))
+		r, repeats := runWithKeyedCaller(t, scenario(t, fmt.Sprintf(lostResults, 1, "on", "keep")), opt)
+		if log := nodeLog(t, opt.LogDir, 0); r.RanAgainAfterRestart > 0 || repeats.sameResult != keysPerNode ||
+			strings.Contains(log, "memory lost") {
+			t.Errorf("%d requests ran again, repeats %+v; the node logged %s",
+				r.RanAgainAfterRestart, repeats, matchingLines(log, "memory"))
 		}
 	})
 }
@@ -232,17 +235,27 @@
 	return string(text)
 }
 
-// The control service restarts after the node whose results directory was emptied. It has stored the node's
-// previous incarnation, and until the node learns of that, it treats repeated requests as in doubt.
+// The control service restarts after the node whose results directory was emptied, or replaced by an older copy. It
+// has stored the node's previous incarnation, and until the node learns of that, it treats repeated requests as in
+// doubt.
 func TestControlServiceReturnsLater(t *testing.T) {
 	opt := build(t)
-	opt.LogDir = t.TempDir()
-	text := fmt.Sprintf(lostResults, 1, "on", "empty") +
-		"[fault.control]\nat = 2900ms\nfor = 1s\nwhat = kill\non = control\n"
-	r := run(t, scenario(t, text), opt)
-	log := nodeLog(t, opt.LogDir, 0)
-	if r.RanAgainAfterRestart > 0 || !strings.Contains(log, "an earlier incarnation reported") {
-		t.Errorf("%d requests ran again; the node logged %s", r.RanAgainAfterRestart, matchingLines(log, "memory"))
+	for _, c := range []struct{ folder, away, logged string }{
+		{"empty", "1s", "an earlier incarnation reported"},
+		{"old", "1500ms", "it is an older copy"},
+	} {
+		t.Run(c.folder, func(t *testing.T) {
+			opt := opt
+			opt.LogDir = t.TempDir()
+			text := strings.Replace(fmt.Sprintf(lostResults, 1, "on", c.folder), "seconds = 7", "seconds = 9", 1) +
+				"[fault.control]\nat = 2900ms\nfor = " + c.away + "\nwhat = kill\non = control\n"
+			r, repeats := runWithKeyedCaller(t, scenario(t, text), opt)
+			log := nodeLog(t, opt.LogDir, 0)
+			if r.RanAgainAfterRestart > 0 || repeats.failed != keysPerNode || !strings.Contains(log, c.logged) {
+				t.Errorf("%d requests ran again, repeats %+v; the node logged %s",
+					r.RanAgainAfterRestart, repeats, matchingLines(log, "memory"))
+			}
+		})
 	}
 }
 
