A withdrawn repeat leaves the run that it joined at once

What callers saw: a node of 48 MB was killed 0.7 s after 40 clients began to repeat the key of a run in progress and to withdraw each repeat 4 ms later (a trial on processes, 30 requests of 2 KB at a time); its dispatchers' open requests were lost.

Cause: a request that joins an earlier run is listed in that run's record, with its body.

Change: the record holds open requests by number, and releasing a request removes it from there.

Before: TestWithdrawnRepeatsAreForgotten found 101 waiting requests, 1 wanted; the trial ended at 48.0 MB, killed. After: 1; the trial took 12.9 MB of 48 in 30 s.

--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -115,7 +115,7 @@
 		h.countFailedRepeat(rec, rec.succeeded)
 		h.endJoined(req, rec.succeeded, rec.result)
 	default:
-		rec.waiting = append(rec.waiting, req)
+		rec.join(req)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -165,6 +165,28 @@
 	r.wantEmpty()
 }
 
+// Guards against memory that grows with withdrawn repeats: a request that joined the run of its key stayed with its body
+// until a sweep once a second, though its caller was gone.
+func TestWithdrawnRepeatsAreForgotten(t *testing.T) {
+	r := newRig(t, defaultSettings(), true)
+	first := r.send(1, withKey("k"))
+	rec := r.records.byKey[recordKey(first, r.cfg.Settings)]
+	stays := r.send(1, withKey("k"))
+	for range 100 {
+		repeat := r.send(1, withKey("k"))
+		repeat.Abandon(exchange.EndedCancelled)
+		r.CallerGone(repeat)
+		r.runBatches()
+	}
+	if len(rec.waiting) != 1 || len(r.requests) != 2 {
+		t.Errorf("%d requests wait for the run, %d are in the node, want 1 and 2", len(rec.waiting), len(r.requests))
+	}
+	r.endRun(first, pool.Complete, "result")
+	r.wantAnswer(first, exchange.Served, "result")
+	r.wantAnswer(stays, exchange.Served, "result")
+	r.wantEmpty()
+}
+
 // A request that was refused before it ran releases its key.
 func TestRefusedRequestReleasesItsKey(t *testing.T) {
 	r := newRig(t, defaultSettings(), true)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"hash/maphash"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,7 +32,8 @@
 	storeKey     string
 	waitUntil    time.Duration  // when to stop waiting for the end of a previous incarnation's run, 0 = not waiting
 	result       []byte         // held in memory, nil = not held
-	waiting      []*openRequest // requests that joined it before its run ended
+
+	waiting map[rules.RequestID]*openRequest // open requests that joined it before its run ended
 }
 
 // recordTable holds the idempotency records, and their results within a bound.
@@ -111,6 +114,14 @@
 	rec.result = nil
 }
 
+// join makes a request wait for the end of a record's run.
+func (rec *record) join(req *openRequest) {
+	if rec.waiting == nil {
+		rec.waiting = map[rules.RequestID]*openRequest{}
+	}
+	rec.waiting[req.id], req.waitsFor = req, rec
+}
+
 // endRun records how the run of a record ended, and returns the requests that waited
 // for it.
 func (t *recordTable) endRun(
@@ -132,7 +143,7 @@
 			oldest.result, oldest.succeeded = nil, oldest.stored
 		}
 	}
-	joined := rec.waiting
+	joined := slices.SortedFunc(maps.Values(rec.waiting), func(a, b *openRequest) int { return cmp.Compare(a.id, b.id) })
 	rec.waiting = nil
 	return joined
 }
@@ -144,9 +155,6 @@
 	}
 	t.lastSweep = now
 	for _, rec := range t.byKey {
-		rec.waiting = slices.DeleteFunc(rec.waiting, func(w *openRequest) bool {
-			return w.x.FinalState() != exchange.Open
-		})
 		if now > rec.expires+lateReadGrace && len(rec.waiting) == 0 {
 			t.remove(rec)
 		}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -18,6 +18,8 @@
 	joined  bool    // waits for the result of the earlier request that it repeats
 	record  *record // the idempotency record that it holds
 
+	waitsFor *record // the record whose run it waits for, nil = none
+
 	statement  []byte // of the downstream call that its run needs
 	callNumber uint64 // the number of the call in flight, 0 = none
 	cancelCall func() // cancels the call in flight
@@ -166,6 +168,10 @@
 // release removes a request from the tables and cancels its call in flight.
 func (n *Node) release(req *openRequest) {
 	req.cancelOpenCall()
+	if req.waitsFor != nil {
+		delete(req.waitsFor.waiting, req.id)
+		req.waitsFor = nil
+	}
 	delete(n.requests, req.id)
 	delete(n.byExchange, req.x)
 	delete(n.byTxn, req.x.Txn)
