Pool link: a repeated bound or a second call of a waiting run is dropped

Queues from peers were read for bounds in bytes: what a worker pool repeats was the one without. Each further bound of a link whose replay had not ended sent another poll and queued another event for the loop, and each further blocked of a run that waits for a call queued its statement of up to 24 KB. The protocol allows neither; a faulty pool could take any memory.

Change: a link is bound once, and a run waits for one call at a time; anything more is a malformed line, counted and logged at a bounded rate.

TestRepeatedBoundAndCallsAreDropped failed before (a second poll was sent) and passes now.

--- a/internal/pool/notices.go
+++ b/internal/pool/notices.go
@@ -164,15 +164,20 @@
 }
 
 // handleBlocked handles the notice that a run waits for a downstream call. The command
-// after its previous call has been read then.
+// after its previous call has been read then. A run waits for one call at a time, so that
+// the statements that the sink holds are bounded by the runs.
 func (l *Link) handleBlocked(n notice) {
 	l.mu.Lock()
 	r := l.runs[n.ID]
-	restart := r != nil && r.restart
+	restart, atCall := r != nil && r.restart, r != nil && r.atCall
 	if r != nil {
-		r.started, r.continuation = true, nil
+		r.started, r.atCall, r.continuation = true, true, nil
 	}
 	l.mu.Unlock()
+	if atCall {
+		l.logBadLine("downstream call of a run that waits for one already", "id", truncate(n.ID))
+		return
+	}
 	if restart || l.isAbandoned(n.ID) {
 		return // it is being stopped, and must not get the result of a call that belongs to its next start
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -90,6 +90,7 @@
 	started bool      // a notice has shown that the worker pool started it
 	stopped bool      // StopRun was called
 	restart bool      // it was told to stop, and is started again once it has
+	atCall  bool      // it waits for a downstream call that the sink was notified of
 
 	continuation *continuation // the command after its last call, nil = none, or known to have been read
 }
@@ -117,6 +118,7 @@
 	addr      string
 	nextConn  net.Conn        // connected to a changed addr, for the next link; nil = none
 	conn      *stream.Conn    // nil while there is no link
+	bound     bool            // the worker pool has answered bind
 	ready     bool            // the replay has ended
 	settling  *settling       // set while the link is about to move: no commands are sent
 	runs      map[string]*run // by transaction name
@@ -207,7 +209,7 @@
 
 // sendSpawn sends the command that starts a run; the lock must be held.
 func (l *Link) sendSpawn(r *run) {
-	r.sent, r.sentAt = true, time.Now()
+	r.sent, r.sentAt, r.atCall = true, time.Now(), false
 	body := r.x.Body
 	if body == nil {
 		body = []byte{}
@@ -266,6 +268,7 @@
 		return // it is over
 	}
 	l.lastOrder++
+	r.atCall = false
 	r.continuation = &continuation{command: cmd, order: l.lastOrder}
 	if l.canSend() {
 		l.sendContinuation(r)
@@ -354,7 +357,7 @@
 	}()
 	defer func() { cancelLink(); <-followerDone }()
 	l.mu.Lock()
-	l.conn, l.ready = c, false
+	l.conn, l.bound, l.ready = c, false, false
 	l.links++
 	lastSeq := l.lastSeq
 	l.mu.Unlock()
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -101,6 +101,32 @@
 	}
 }
 
+// Guards against memory that grows with what a faulty worker pool repeats: each further bound of a link, and each further
+// call of a run that waits for one, was passed on, without a bound.
+func TestRepeatedBoundAndCallsAreDropped(t *testing.T) {
+	l, sink, w := startLink(t)
+	w.accept(0)
+	w.send(`{"op":"bound","end":"hot","ms":5}`, `{"op":"bound","end":"hot","ms":5}`, `{"op":"bound","end":"hot","ms":5}`)
+	w.expect(`{"op":"poll","tag":"r1"}`)
+	w.expectSilence()
+	w.send(`{"op":"polled","tag":"r1","values":[]}`)
+	x := request("a", true)
+	l.StartRun(x)
+	w.expect(spawnLine("a"))
+	w.send(blockedLine(1, "a", "one"), blockedLine(2, "a", "two"), blockedLine(3, "a", "three"))
+	standin.Eventually(t, "bad lines", func() bool { return l.Counters.BadLines.Load() == 4 })
+	l.ContinueWithResult(x, []byte("rows"))
+	w.expect(supplyLine("a", "rows"))
+	w.send(blockedLine(4, "a", "four"))
+	standin.Eventually(t, "the next call", func() bool { return len(sink.callsNeeded()) == 2 })
+	if calls := sink.callsNeeded(); !strings.Contains(calls[0], "one") || !strings.Contains(calls[1], "four") {
+		t.Errorf("calls %q", calls)
+	}
+	if len(sink.coldStarts) != 1 || l.Counters.Links.Load() != 1 {
+		t.Errorf("%d starts of the worker pool, %d links", len(sink.coldStarts), l.Counters.Links.Load())
+	}
+}
+
 // A run whose command the worker pool is known to have read is not started again: it may
 // have ended since the replay, and would run twice. Commands sent within unreadWindow
 // before the link ended are sent again in any case: they may be lost all the same.
--- a/internal/pool/replay.go
+++ b/internal/pool/replay.go
@@ -16,11 +16,12 @@
 // no link must be known to have ended first, or it would run twice.
 func (l *Link) handleBound(c *stream.Conn, n notice) {
 	l.mu.Lock()
-	if l.ready {
+	if l.bound {
 		l.mu.Unlock()
 		l.logBadLine("worker pool sent bound twice on one link")
 		return
 	}
+	l.bound = true
 	sendCommand(c, command{Op: "poll", Tag: l.replayTag()})
 	lastSeq := l.lastSeq
 	l.mu.Unlock()
