Warm-up: runs that share the cores are not taken for slow ones

Cause: Startup compares how long a run took with its hint, which is for a core of its own. After a restart at 0.9 load more runs than cores are in progress, so that each takes longer, and the speed stays under 0.92 until the bound.

Change: the node counts its runs in progress, and UnsharedTime divides a run's time by the mean of runs per core at its start and its end, where that is above one.

--- a/decide/recovery/startup.go
+++ b/decide/recovery/startup.go
@@ -153,8 +153,8 @@
 		now-s.fleetCapacityAt < capacityTTL
 }
 
-// RunSucceeded reports a successful run: how long it took, and the caller's hint of how long
-// its work takes on a warm core, 0 = no hint.
+// RunSucceeded reports a successful run: how long it took by UnsharedTime, and the caller's hint of
+// how long its work takes on a warm core, 0 = no hint.
 func (s *Startup) RunSucceeded(_ time.Duration, class int, took, hint time.Duration) {
 	if s.state == FullService || took <= 0 {
 		return
@@ -175,6 +175,13 @@
 	s.speed += speedSmoothing * (speed - s.speed)
 }
 
+// UnsharedTime estimates how long a run would have taken on a core of its own: the cores are shared evenly by the
+// runs in progress, of which there were so many at its start and at its end, itself included.
+func UnsharedTime(took time.Duration, cores, runsAtStart, runsAtEnd int) time.Duration {
+	runsPerCore := float64(runsAtStart+runsAtEnd) / 2 / float64(max(cores, 1))
+	return time.Duration(float64(took) / max(runsPerCore, 1))
+}
+
 // Speed returns the share of its usual speed that the node has reached: by the warm-up ramp
 // of the settings, or by its runs if they are slower. Hints are rough and cores are shared,
 // so runs never lower it below half of the ramp's value.
--- a/decide/recovery/startup_test.go
+++ b/decide/recovery/startup_test.go
@@ -93,6 +93,40 @@
 	}
 }
 
+// Runs that share the cores are no slower than one alone, so that a warm node that is busy reaches full service as soon
+// as an idle one.
+func TestUnsharedTime(t *testing.T) {
+	for _, c := range []struct {
+		cores, atStart, atEnd int
+		want                  time.Duration
+	}{
+		{2, 1, 1, 60 * time.Millisecond},
+		{2, 2, 2, 60 * time.Millisecond},
+		{2, 4, 4, 30 * time.Millisecond},
+		{2, 8, 4, 20 * time.Millisecond},
+		{0, 3, 3, 20 * time.Millisecond}, // the number of cores is not known: one
+		{4, 0, 0, 60 * time.Millisecond},
+	} {
+		if got := UnsharedTime(60*time.Millisecond, c.cores, c.atStart, c.atEnd); got != c.want {
+			t.Errorf("60 ms with %d and %d runs on %d cores: %v, want %v", c.atStart, c.atEnd, c.cores, got, c.want)
+		}
+	}
+	startup := NewStartup(0, 0, StartupSettings{Cores: 2, ColdSpeed: 0.33, WarmUpTime: 3 * time.Second})
+	startup.WorkerPoolUp(0, 0, true)
+	for now := time.Duration(0); ; now += 25 * time.Millisecond {
+		startup.Arrived(now, false)
+		speed := min(1, 0.33+0.67*now.Seconds()/3)
+		took := time.Duration(3 * float64(20*time.Millisecond) / speed) // six runs on two cores
+		startup.RunSucceeded(now, 0, UnsharedTime(took, 2, 6, 6), 20*time.Millisecond)
+		if _, line := startup.Step(now); line != "" {
+			if now > 3500*time.Millisecond {
+				t.Errorf("a busy node is in full service after %v", now)
+			}
+			return
+		}
+	}
+}
+
 // A warming node requests its full share while the reported capacity of the fleet is low. A report that
 // is outdated or not a share is ignored.
 func TestLifeGoesByTheFleetsRoom(t *testing.T) {
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -20,7 +20,9 @@
 // wait then are passed to a new module once it is.
 func (h host) Run(id rules.RequestID) {
 	if req := h.requests[id]; req != nil && !req.running {
-		req.running = true
+		n := h.Node
+		n.running++
+		req.running, req.runsAtStart = true, n.running
 		if h.isPoolUp {
 			h.startRun(req)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,6 +99,7 @@
 	nextID         rules.RequestID
 	lastCallNumber uint64 // of downstream calls
 	requests       map[rules.RequestID]*openRequest
+	running        int // requests with a run in progress
 	byExchange     map[*exchange.Exchange]*openRequest
 	byTxn          map[string]struct{} // transaction names of the open requests
 	timers         []timer             // earliest first
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -30,8 +30,8 @@
 	stored       bool // the result can be fetched from the result cache, under storeKey
 	failRepeats  bool // of a previous incarnation: a repeat must not run, even if it is safe
 	storeKey     string
-	waitUntil    time.Duration  // when to stop waiting for the end of a previous incarnation's run, 0 = not waiting
-	result       []byte         // held in memory, nil = not held
+	waitUntil    time.Duration // when to stop waiting for the end of a previous incarnation's run, 0 = not waiting
+	result       []byte        // held in memory, nil = not held
 
 	waiting map[rules.RequestID]*openRequest // open requests that joined it before its run ended
 }
--- a/internal/node/recovery.go
+++ b/internal/node/recovery.go
@@ -22,8 +22,8 @@
 	InDoubt(now time.Duration, class int, key uint64, retry bool, age time.Duration) bool
 	// Arrived counts a request; retry marks a further try.
 	Arrived(now time.Duration, retry bool)
-	// RunSucceeded observes a successful run, how long it took and the work that its request
-	// expected (0 = not known). It reports whether the module's warm start is to be discarded.
+	// RunSucceeded observes a successful run, how long it would have taken on a core of its own and
+	// the work that its request expected (0 = not known). It reports whether the module's warm start is to be discarded.
 	RunSucceeded(now time.Duration, class int, took, hint time.Duration) (discardWarmStart bool)
 	// Step runs at each timer of the module. short means that the fleet is short of
 	// capacity. It returns the share of its full load that the node asks for, and the share
@@ -121,13 +121,15 @@
 // a recovering node could never show that it is healthy.
 const minLoadShare = 0.05
 
-// observeRun passes a successful run to the recovery, unless the request only joined another one's run.
-func (n *Node) observeRun(req *openRequest, e event, joined bool) {
-	if n.cfg.Recovery == nil || joined || e.duration <= 0 {
+// observeRun passes a request's successful run to the recovery; runsAtEnd is the number of runs in progress at its
+// end, itself included.
+func (n *Node) observeRun(req *openRequest, duration time.Duration, runsAtEnd int) {
+	if n.cfg.Recovery == nil || duration <= 0 {
 		return
 	}
 	hint := time.Duration(req.x.HintMs * float64(time.Millisecond))
-	if n.cfg.Recovery.RunSucceeded(n.now, req.x.Class, e.duration, hint) {
+	took := recovery.UnsharedTime(duration, n.cfg.Settings.Cores, req.runsAtStart, runsAtEnd)
+	if n.cfg.Recovery.RunSucceeded(n.now, req.x.Class, took, hint) {
 		if m, ok := n.module.(learner); ok {
 			m.DiscardWarmStart()
 		}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -14,11 +14,12 @@
 type openRequest struct {
 	id      rules.RequestID // its name in the module
 	x       *exchange.Exchange
-	running bool    // a run was started and is not over
+	running bool    // a run was started and is not over; setRunEnded resets it
 	joined  bool    // waits for the result of the earlier request that it repeats
 	record  *record // the idempotency record that it holds
 
-	waitsFor *record // the record whose run it waits for, nil = none
+	waitsFor    *record // the record whose run it waits for, nil = none
+	runsAtStart int     // runs in progress when its run started, this one included
 
 	statement  []byte // of the downstream call that its run needs
 	callNumber uint64 // the number of the call in flight, 0 = none
@@ -123,8 +124,9 @@
 	if req.running && !e.recorded && n.storeOutcome(req, e) {
 		return // the answer follows once the result is stored
 	}
-	joined := req.joined
-	req.running, req.joined = false, false
+	joined, runsAtEnd := req.joined, n.running
+	n.setRunEnded(req)
+	req.joined = false
 	req.cancelOpenCall()
 	if req.record != nil && e.stored {
 		req.record.stored, req.record.storeKey = true, req.record.key[1:]
@@ -136,7 +138,9 @@
 		}
 		n.endRecord(req, true, e.body)
 		n.module.RunEnded(n.now, req.id, rules.OK, e.duration)
-		n.observeRun(req, e, joined)
+		if !joined {
+			n.observeRun(req, e.duration, runsAtEnd)
+		}
 	case pool.Cancelled:
 		n.module.RunEnded(n.now, req.id, rules.Cancelled, e.duration)
 		n.releaseIfDone(req)
@@ -156,6 +160,14 @@
 	n.releaseIfDone(req)
 }
 
+// setRunEnded notes that a request has no run in progress.
+func (n *Node) setRunEnded(req *openRequest) {
+	if req.running {
+		req.running = false
+		n.running--
+	}
+}
+
 // releaseIfDone releases a request that was answered and whose run is over.
 func (n *Node) releaseIfDone(req *openRequest) {
 	if req.running || req.x.FinalState() == exchange.Open {
@@ -168,6 +180,7 @@
 // release removes a request from the tables and cancels its call in flight.
 func (n *Node) release(req *openRequest) {
 	req.cancelOpenCall()
+	n.setRunEnded(req)
 	if req.waitsFor != nil {
 		delete(req.waitsFor.waiting, req.id)
 		req.waitsFor = nil
--- a/internal/recovery/manager.go
+++ b/internal/recovery/manager.go
@@ -323,7 +323,7 @@
 // Arrived reports the arrival of a request; furtherTry marks a further try.
 func (m *Manager) Arrived(now time.Duration, furtherTry bool) { m.startup.Arrived(now, furtherTry) }
 
-// RunSucceeded reports a successful run: how long it took, and the caller's hint of that, 0 = no hint.
+// RunSucceeded reports a successful run: how long it took by UnsharedTime, and the caller's hint of that, 0 = no hint.
 // It returns whether the decision module must discard what it took from the snapshot.
 func (m *Manager) RunSucceeded(now time.Duration, class int, took, hint time.Duration) (discard bool) {
 	m.startup.RunSucceeded(now, class, took, hint)
