Recovery events are dated alike, however the loss is found

Operators read a time to full service that was up to 1.6 s too long or a second too short, by where between two reports the loss fell: one found by 1.6 s of silence was dated at the last report, one found by the next incarnation at that one's first report. The end was seen with the next report, up to 0.7 s late.

Evidence: TestPrecisionOfTimeToFullService plays losses at every phase, with one report lost or late, and returns before and after the report timeout.

--- a/cmd/robinmast/control.go
+++ b/cmd/robinmast/control.go
@@ -42,6 +42,8 @@
 	view       shedding.View
 	shedding   controlShedding // part of message
 	drainEnd   time.Time       // end of the drain, zero = the node does not drain
+
+	reportedFull bool // the return to full service was reported
 }
 
 // controlLink is the link to one control service. Each has its own reporter, so that a service
@@ -253,11 +255,26 @@
 	c.message.Recovery = part
 }
 
-// setLoad sets the node's load, for the next report.
+// setLoad sets the node's load, for the next report. The node's return to full service is reported at once, so that the
+// end of an event is known to the tenth of a second.
 func (c *controlReport) setLoad(l node.Load) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.message.Running, c.message.Limit, c.message.Pressure, c.message.Warm = l.Running, l.Limit, l.Pressure, l.Warm
+	first := !c.reportedFull && c.inFullService()
+	c.reportedFull = c.reportedFull || first
+	c.mu.Unlock()
+	if first {
+		c.reportNow()
+	}
+}
+
+// inFullService reports whether the node has returned to full service; c.mu must be held.
+func (c *controlReport) inFullService() bool {
+	if c.recovery == nil || c.message.Warm < 1 {
+		return false
+	}
+	view := c.recovery.View()
+	return view != nil && view.State == decide.FullService.String()
 }
 
 // setHealthy sets the result of the node's health checks, and reports a change at once.
--- a/decide/recovery/eventdetector.go
+++ b/decide/recovery/eventdetector.go
@@ -21,6 +21,7 @@
 	usualCapacitySmoothing = 0.02                    // weight of a tenth of a second in the usual capacity
 	maxEvents              = 64                      // finished events that are kept
 	maxZones               = 16                      // listed per event
+	reportInterval         = 700 * time.Millisecond  // between two reports of a node
 	reportTimeout          = 1600 * time.Millisecond // two missed reports: a node that is silent for longer is lost
 	sizeDecay              = 0.999                   // factor per report: a node's size halves in eight minutes
 	maxSizeOverMedian      = 4.0                     // a node's size counts for at most so many times the median
@@ -85,7 +86,7 @@
 
 // loss is one incarnation of a node that was lost.
 type loss struct {
-	detectedAt time.Duration
+	lostAt     time.Duration // estimate, see estimateLoss
 	name       string
 	lastReport time.Duration // of the lost incarnation
 	returnedAt time.Duration // first report of the next incarnation, or notReturned
@@ -115,7 +116,7 @@
 		return
 	}
 	if report.Incarnation > node.Incarnation && !node.Leaving && !node.lost {
-		d.losses = append(d.losses, loss{now, report.Name, node.lastReport, now, node.size})
+		d.losses = append(d.losses, loss{estimateLoss(node.lastReport, now), report.Name, node.lastReport, now, node.size})
 	}
 	for i, l := range d.losses {
 		if l.name == report.Name && l.returnedAt == notReturned {
@@ -126,6 +127,12 @@
 	node.size = max(node.Limit, sizeDecay*node.size)
 }
 
+// estimateLoss estimates when a node was lost that was found lost at the time found. It was lost between its last report
+// and the next one, which did not come: the middle is wrong by half of an interval at most, however it is found.
+func estimateLoss(lastReport, found time.Duration) time.Duration {
+	return min(lastReport+reportInterval/2, found)
+}
+
 // clampReport bounds the figures of a report, so that one wrong report cannot move the fleet's
 // figures by more than a node can.
 func clampReport(report NodeReport) NodeReport {
@@ -150,12 +157,12 @@
 	before := d.lastStep
 	d.lastStep = now
 	m := d.measure(now, dt)
-	d.losses = slices.DeleteFunc(d.losses, func(l loss) bool { return now-l.detectedAt > lossWindow })
+	d.losses = slices.DeleteFunc(d.losses, func(l loss) bool { return now-l.lostAt > lossWindow })
 	lost := map[string]bool{}
 	began := now
 	for _, l := range d.losses {
 		lost[l.name] = true
-		began = min(began, l.detectedAt)
+		began = min(began, l.lostAt)
 	}
 	if d.current == nil {
 		if n := len(d.nodes); n >= minNodes && float64(len(lost)) > minLostShare*float64(n) &&
@@ -203,7 +210,7 @@
 			continue
 		case silent > reportTimeout && !node.lost:
 			if node.lost = true; !node.Leaving {
-				d.losses = append(d.losses, loss{now - reportTimeout, name, node.lastReport, notReturned, node.size})
+				d.losses = append(d.losses, loss{estimateLoss(node.lastReport, now), name, node.lastReport, notReturned, node.size})
 			}
 		}
 		m.total += min(node.size, m.maxSize)
--- a/decide/recovery/eventdetector_test.go
+++ b/decide/recovery/eventdetector_test.go
@@ -1,12 +1,16 @@
 package recovery
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // reportFleet sends the reports of n nodes, one per node and 0.7 s. speed returns the speed of node i, below
@@ -215,3 +219,92 @@
 		t.Errorf("stored as %s (%v), want %s", got, err, want)
 	}
 }
+
+// The recorded time to full service does not depend on where between two reports the loss falls. All nodes are lost at
+// one moment of the report interval, return before or after the report timeout, and report at once that they are in
+// full service. One report may be lost or late: the last before the loss, the first after it, or that of full service.
+// docs/recovery.md states the precision.
+func TestPrecisionOfTimeToFullService(t *testing.T) {
+	const (
+		step      = 100 * time.Millisecond
+		precision = reportInterval/2 + step
+		lateBy    = 500 * time.Millisecond
+		warmUp    = 3 * time.Second
+	)
+	type report struct {
+		at, sent    time.Duration
+		node        int
+		incarnation uint64
+		warm        float64
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(3, 8).Draw(t, "nodes")
+		lostAt := 10*time.Second + time.Duration(rapid.IntRange(0, 69).Draw(t, "phase"))*10*time.Millisecond
+		away := time.Duration(rapid.IntRange(10, 400).Draw(t, "away"))*10*time.Millisecond + 1
+		back, end := lostAt+away, lostAt+away+warmUp+4*time.Second
+		disturbed := rapid.SampledFrom([]string{"none", "last", "first", "full"}).Draw(t, "disturbed report")
+		isLost := rapid.Bool().Draw(t, "lost instead of late")
+		var reports []report
+		for i := range nodes {
+			phase := time.Duration(rapid.IntRange(0, 69).Draw(t, "phase of a node")) * 10 * time.Millisecond
+			add := func(kind string, r report) {
+				r.sent, r.node = r.at, i
+				if i == 0 && kind == disturbed {
+					if isLost {
+						return
+					}
+					r.at += lateBy
+				}
+				reports = append(reports, r)
+			}
+			for at := phase; at < lostAt; at += reportInterval {
+				kind := ""
+				if at+reportInterval >= lostAt {
+					kind = "last"
+				}
+				add(kind, report{at: at, incarnation: 1, warm: 1})
+			}
+			full := back + warmUp
+			for at := back; at < full; at += reportInterval {
+				kind := ""
+				if at == back {
+					kind = "first"
+				}
+				add(kind, report{at: at, incarnation: 2, warm: 0.33 + 0.6*float64(at-back)/float64(warmUp)})
+			}
+			add("full", report{at: full, incarnation: 2, warm: 1})
+			for at := full + reportInterval; at < end; at += reportInterval {
+				add("", report{at: at, incarnation: 2, warm: 1})
+			}
+		}
+		slices.SortStableFunc(reports, func(a, b report) int { return cmp.Compare(a.at, b.at) })
+		detector := NewEventDetector(0, 0)
+		lastSent := map[int]time.Duration{}
+		for now := step; now < end; now += step {
+			for len(reports) > 0 && reports[0].at <= now {
+				r := reports[0]
+				reports = reports[1:]
+				if r.sent < lastSent[r.node] { // the fleet ignores a report that is not later than the last one
+					continue
+				}
+				lastSent[r.node] = r.sent
+				detector.Observe(r.at, NodeReport{
+					Name: fmt.Sprint("n", r.node), Incarnation: r.incarnation, Warm: r.warm, Limit: 4, ArrivalRate: 10,
+				})
+			}
+			detector.Step(now)
+		}
+		list := detector.List()
+		if len(list) != 1 || !list[0].Ended || list[0].LostNodes != nodes {
+			t.Fatalf("events %+v", list)
+		}
+		allowed := precision
+		if disturbed != "none" {
+			allowed += reportInterval
+		}
+		want := away + warmUp
+		if difference := list[0].FullAfter - want; difference.Abs() > allowed {
+			t.Fatalf("full after %v, in truth after %v; %v is allowed", list[0].FullAfter, want, allowed)
+		}
+	})
+}
