--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -64,6 +64,9 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.Fleet.Seconds+60)*time.Second)
 	defer cancel()
+	if opt.LogDir == "" {
+		opt.LogDir = t.ArtifactDir() // several plays of a test write to it in turn
+	}
 	r, err := Run(ctx, s, opt)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/standin/fleet/recovery_test.go
+++ b/internal/standin/fleet/recovery_test.go
@@ -80,7 +80,7 @@
 			}
 			opt := opt
 			var log string
-			opt.LogDir = t.TempDir()
+			opt.LogDir = t.ArtifactDir()
 			r, repeats := runWithKeyedCaller(t, scenario(t, fmt.Sprintf(lostResults, c.nodes, "on", c.folder)), opt)
 			for i := range c.nodes {
 				log += nodeLog(t, opt.LogDir, i)
@@ -95,7 +95,7 @@
 	t.Run("keep", func(t *testing.T) {
 		t.Parallel()
 		opt := opt
-		opt.LogDir = t.TempDir()
+		opt.LogDir = t.ArtifactDir()
 		r, repeats := runWithKeyedCaller(t, scenario(t, fmt.Sprintf(lostResults, 1, "on", "keep")), opt)
 		if log := nodeLog(t, opt.LogDir, 0); r.RanAgainAfterRestart > 0 || repeats.sameResult != keysPerNode ||
 			strings.Contains(log, "memory lost") {
@@ -152,7 +152,7 @@
 on = nodes
 `+twoClasses)
 	opt := build(t)
-	opt.LogDir = t.TempDir()
+	opt.LogDir = t.ArtifactDir()
 	var last []eventView
 	stop := pollServices(&opt, func(ctx context.Context, _ int, addr string, _ time.Duration) {
 		if v, err := fetch[[]eventView](ctx, addr, "/events"); err == nil {
@@ -213,7 +213,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			opt := opt
-			opt.LogDir = t.TempDir()
+			opt.LogDir = t.ArtifactDir()
 			run(t, scenario(t, fmt.Sprintf(text, c.from, c.ramp, c.fault)), opt)
 			for i := range 2 {
 				log := nodeLog(t, opt.LogDir, i)
@@ -246,7 +246,7 @@
 	} {
 		t.Run(c.folder, func(t *testing.T) {
 			opt := opt
-			opt.LogDir = t.TempDir()
+			opt.LogDir = t.ArtifactDir()
 			text := strings.Replace(fmt.Sprintf(lostResults, 1, "on", c.folder), "seconds = 7", "seconds = 9", 1) +
 				"[fault.control]\nat = 2900ms\nfor = " + c.away + "\nwhat = kill\non = control\n"
 			r, repeats := runWithKeyedCaller(t, scenario(t, text), opt)
@@ -267,7 +267,7 @@
 		t.Fatal(err)
 	}
 	opt := build(t)
-	opt.LogDir = t.TempDir()
+	opt.LogDir = t.ArtifactDir()
 	r := run(t, s, opt)
 	if r.ServedShare < 0.95 || r.RecoveryTime < 0 || r.RecoveryTime > 2 {
 		t.Errorf("%.3f served, recovered after %.1f s", r.ServedShare, r.RecoveryTime)
@@ -292,7 +292,7 @@
 		"[class.pay]\nshare = 0.5\nms = 20\neffect = keyed\n[class.read]\nshare = 0.5\nms = 20\n"+
 		"[fault.killed]\nat = 3s\nfor = 200ms\nwhat = kill\non = nodes\n", nodes))
 	opt := build(t)
-	opt.LogDir = t.TempDir()
+	opt.LogDir = t.ArtifactDir()
 	// A node whose result cache is full of keyed records accepts no further ones.
 	opt.NodeSettings = map[string]string{"results": "entries = 400000\nbytes = 256MB"}
 	opt.Prepare = func(_ int, dir string) error { return fillResults(filepath.Join(dir, "results"), results) }
@@ -352,7 +352,7 @@
 // key count of the last checkpoint, and no keyed request runs again.
 func TestHalfOfStoreFilesMissing(t *testing.T) {
 	opt := build(t)
-	opt.LogDir = t.TempDir()
+	opt.LogDir = t.ArtifactDir()
 	opt.NodeSettings = map[string]string{"store": "segment = 256KB"}
 	opt.Prepare = func(_ int, dir string) error { return fillResults(filepath.Join(dir, "results"), 3000) }
 	r := run(t, scenario(t, fmt.Sprintf(lostResults, 1, "on", "half")), opt)
--- a/internal/standin/fleet/shedding_test.go
+++ b/internal/standin/fleet/shedding_test.go
@@ -244,7 +244,7 @@
 on = control
 `, nodes, outage+6, outage))
 	opt := build(t)
-	opt.LogDir = t.TempDir()
+	opt.LogDir = t.ArtifactDir()
 	run(t, s, opt)
 	spread := reconnectSpread(t, opt.LogDir, nodes)
 	if spread < minSpread {
