A closed connection is counted as soon as it is found closed

Cause: Abort marked the connection as closed under its lock and counted the close after it. Another caller of Abort, which finds it closed and returns, could read the counters in between; an operator's counters could show the same.

Change: the close is counted under the lock. The harness besides waits until every connection has left the server before it compares the same counters: a reader that was closing its connection may still be ending its requests.

--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -114,6 +114,8 @@
 		standin.Eventually(t, "every queued message sent or dropped", func() bool {
 			return traffic.Queued.Load() == traffic.Sent.Load()+traffic.Dropped.Load() && traffic.QueuedBytes.Load() == 0
 		})
+		// A reader that was closing its connection when AbortAll came may be at it still.
+		standin.Eventually(t, "every connection gone", func() bool { return b.Conns() == 0 })
 		closed := int64(0)
 		for _, reason := range stream.CloseReasons() {
 			closed += traffic.Closed[reason].Load()
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -245,12 +245,12 @@
 		return
 	}
 	c.closeReason = reason
+	c.traffic.Closed[reason].Add(1) // under the lock: whoever finds the connection closed finds it counted
 	c.traffic.Dropped.Add(int64(len(c.messageEnds)))
 	c.messageEnds = nil
 	c.traffic.QueuedBytes.Add(-c.ringBytes)
 	c.ringBytes = 0
 	c.mu.Unlock()
-	c.traffic.Closed[reason].Add(1)
 	c.wakeWriter()
 	select {
 	case c.recheck <- struct{}{}: // wakes a reader that waits only for answers
