A health check with an invalid tag does not pass for a valid message

Its connection escaped the limit of 2 s for a first whole message, so that a client that sends one could hold a descriptor for the maximum idle timeout. TestFirstMessageLimit has such a client now: it waited in vain for the close before, and passes now.

--- a/internal/front/accept_test.go
+++ b/internal/front/accept_test.go
@@ -211,11 +211,15 @@
 // idle timeout.
 func TestFirstMessageLimit(t *testing.T) {
 	b := startServer(t, func(s *Server) { s.firstMessageLimit = 150 * time.Millisecond })
-	d, silent, half := b.dial(t), b.dial(t), b.dial(t)
+	d, silent, half, invalid := b.dial(t), b.dial(t), b.dial(t), b.dial(t)
 	d.Send("RPC.HEALTH", "1", "")
 	if got := d.Receive(); got != "1 GREEN  " {
 		t.Errorf("%q", got)
 	}
+	invalid.Send("RPC.HEALTH", "none", "") // its tag is no number
+	if got := invalid.Receive(); got != "0 FAIL  " {
+		t.Errorf("invalid: %q", got)
+	}
 	half.Write([]byte("*2\r\n$10\r\nRPC"))
 	if got := silent.Receive(); got != "EOF" {
 		t.Errorf("silent: %q", got)
@@ -223,8 +227,11 @@
 	if got := half.Receive(); got != "EOF" {
 		t.Errorf("half: %q", got)
 	}
+	if got := invalid.Receive(); got != "EOF" {
+		t.Errorf("invalid: %q", got)
+	}
 	d.Send("RPC.HEALTH", "2", "")
-	if got := d.Receive(); got != "2 GREEN  " || b.Traffic.Closed[stream.ReadStalled].Load() != 2 {
+	if got := d.Receive(); got != "2 GREEN  " || b.Traffic.Closed[stream.ReadStalled].Load() != 3 {
 		t.Errorf("%q, %d closed", got, b.Traffic.Closed[stream.ReadStalled].Load())
 	}
 }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -202,10 +202,11 @@
 
 // health handles RPC.HEALTH: it answers GREEN or RED.
 func (c *client) health(tag []byte) {
+	_, err := parseTag(tag)
 	c.mu.Lock()
-	c.lastUsed, c.sentValid = time.Now(), true
+	c.lastUsed, c.sentValid = time.Now(), c.sentValid || err == nil
 	c.mu.Unlock()
-	if _, err := parseTag(tag); err != nil {
+	if err != nil {
 		c.reject(tag)
 		return
 	}
