--- a/decide/recovery/startup.go
+++ b/decide/recovery/startup.go
@@ -25,6 +25,8 @@
 	"math"
 	"strings"
 	"time"
+
+	"robinmast/rules"
 )
 
 // State is a step of a node between its start and full service.
@@ -72,6 +74,17 @@
 	UsualRuns  []float64     // usual run time by class in seconds, from a snapshot; 0 = unknown
 }
 
+// UsualRuns returns the usual run time by class of a snapshot, in seconds; 0 = too few runs were observed.
+func UsualRuns(learned rules.Learned) []float64 {
+	usual := make([]float64, len(learned.Classes))
+	for i, class := range learned.Classes {
+		if class.Samples >= minUsualRuns {
+			usual[i] = class.BaselineLatency
+		}
+	}
+	return usual
+}
+
 // Startup tracks one node from the start of its process to full service.
 type Startup struct {
 	settings     StartupSettings
--- a/decide/recovery/startup_test.go
+++ b/decide/recovery/startup_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"robinmast/rules"
 )
 
 // Checks the invariants of Startup for arbitrary events: states follow each other in their order and
@@ -93,6 +96,16 @@
 	}
 }
 
+// The run time of a class of which a snapshot saw fewer than minUsualRuns runs is not taken for its usual one.
+func TestUsualRunsNeedSamples(t *testing.T) {
+	got := UsualRuns(rules.Learned{Classes: []rules.LearnedClass{
+		{BaselineLatency: 0.1, Samples: minUsualRuns - 1}, {BaselineLatency: 0.2, Samples: minUsualRuns}, {},
+	}})
+	if !slices.Equal(got, []float64{0, 0.2, 0}) {
+		t.Errorf("usual runs %v", got)
+	}
+}
+
 // Runs that share the cores are no slower than one alone, so that a warm node that is busy reaches full service as soon
 // as an idle one.
 func TestUnsharedTime(t *testing.T) {
--- a/internal/recovery/manager.go
+++ b/internal/recovery/manager.go
@@ -213,9 +213,7 @@
 		Cores: m.cfg.Settings.Cores, ColdSpeed: m.cfg.Settings.ColdSpeed, WarmUpTime: m.cfg.Settings.WarmUpTime,
 	}
 	if m.learned != nil {
-		for _, c := range m.learned.Classes {
-			settings.UsualRuns = append(settings.UsualRuns, c.BaselineLatency)
-		}
+		settings.UsualRuns = decide.UsualRuns(*m.learned)
 	}
 	processStart := now - time.Since(m.processStart)
 	m.startup = decide.NewStartup(processStart, now, settings)
