A read that a deadline ended no longer cancels a planned close

Cause: RecheckClose wakes the reader with a read deadline in the past. Between the reader's look at the plan and its read without waiting, that deadline made the read fail, and each result but 'no input' cancelled CloseIfIdle. In the same way a second StopLingering ended discardInput with input unread, so that the kernel sent RST instead of FIN's orderly end.

Change: only bytes that were read cancel the close; a deadline ends neither the plan nor the discarding of input.

--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -133,7 +133,7 @@
 					continue
 				}
 				n, err = c.Conn.Read(space) // until there is input, or RecheckClose ends the read
-			} else if p == closeIfIdle {
+			} else if n > 0 && p == closeIfIdle {
 				c.cancelCloseIfIdle()
 			}
 		}
@@ -301,13 +301,15 @@
 		if c.lingerStopped.Load() {
 			_ = c.Conn.SetReadDeadline(time.Time{})
 			n, err = c.readAvailable(p)
-		} else if n, err = c.Conn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
-			c.lingerStopped.Store(true) // read once more without waiting
-			continue
+		} else {
+			n, err = c.Conn.Read(p)
 		}
 		c.traffic.Discarded.Add(int64(n))
 		remaining -= n
-		if err != nil {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded): // the deadline says nothing about what is still unread
+			c.lingerStopped.Store(true)
+		case err != nil:
 			return
 		}
 	}
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -291,6 +292,69 @@
 	}
 }
 
+// interruptedConn calls interrupt just before the first read that does not wait for input.
+type interruptedConn struct {
+	*net.TCPConn
+	once      sync.Once
+	interrupt func()
+}
+
+func (c *interruptedConn) SyscallConn() (syscall.RawConn, error) {
+	c.once.Do(c.interrupt)
+	return c.TCPConn.SyscallConn()
+}
+
+// Guards against a close that is forgotten: a read that RecheckClose woke counted as input, which cancels CloseIfIdle.
+func TestCloseIfIdleSurvivesRecheck(t *testing.T) {
+	conn, _ := pair(t, defaultLimits, &Traffic{}, nil)
+	conn.Conn = &interruptedConn{TCPConn: conn.Conn.(*net.TCPConn), interrupt: conn.RecheckClose}
+	conn.AnswersPending = func() bool { return false }
+	go conn.Read(make([]byte, 64))
+	conn.CloseIfIdle(IdleClosed)
+	standin.Eventually(t, "closed", func() bool { return conn.CloseReason() == IdleClosed })
+}
+
+// Guards against answers destroyed by a reset: a StopLingering between two reads ended them with input unread.
+func TestStopLingeringLeavesNoInputUnread(t *testing.T) {
+	var tr Traffic
+	limits := defaultLimits
+	limits.Linger = time.Minute // longer than the test
+	conn, peer := pair(t, limits, &tr, nil)
+	raw := conn.Conn.(*net.TCPConn)
+	conn.Conn = &interruptedConn{TCPConn: raw, interrupt: conn.StopLingering}
+	conn.AnswersPending = func() bool { return false }
+	if _, err := peer.Write([]byte("late\n")); err != nil {
+		t.Fatal(err)
+	}
+	standin.Eventually(t, "input", func() bool { return hasInput(t, raw) })
+	conn.StopLingering()
+	conn.Abort(IdleClosed)
+	<-conn.WhenClosed()
+	if n := tr.Discarded.Load(); n != 5 {
+		t.Errorf("%d bytes of 5 were read before the descriptor was closed", n)
+	}
+	if n, err := peer.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("the peer read %d bytes, %v", n, err)
+	}
+}
+
+// hasInput reports whether the connection has input that was not read.
+func hasInput(t *testing.T, conn *net.TCPConn) bool {
+	t.Helper()
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n > 0
+}
+
 // Once a connection is closed, input is discarded and its reader returns at once. Otherwise the reader and the
 // discarding loop would each read part of the input, and the reader would pass on messages with gaps.
 func TestNoInputIsReadAfterClose(t *testing.T) {
