store: a segment whose failed write cannot be truncated is abandoned

Harm: acknowledged buffered writes could be gone after a successful Sync and a power cut. After a failed write whose truncation failed too, the segment was sealed with a void from its end on; the next Sync looked at the active segment only, so that the sealed one was never synced. docs/store.md says that such a segment is abandoned.

Change: it is: the next segment voids all that was not synced and holds the acknowledged writes again. Of several voids of one segment in one file the smallest counts, as across files, where the last did; no file of the store's own has several now.

Result: TestSyncAfterFailedTruncation failed before (the buffered key was gone, 'cut short'), TestSmallestVoidCounts too (200 instead of 100); both pass.

Tests of the fleet: TestRefusedPromptly compares 20 s instead of 5 s, bounds as before. TestThresholdFollowsOverload failed where the threshold came at 5.0 s instead of 4.3 s: a node hears of it with its next report and says so in the one after, 1.3 s later, which left 0.4 s of the window at best. The overload lasts to 7 s now; all nodes must follow within two report intervals, and from then on in every view to its end, where three views were enough.

--- a/internal/standin/fleet/shedding_test.go
+++ b/internal/standin/fleet/shedding_test.go
@@ -63,7 +63,10 @@
 	return fetch[fleetView](ctx, addr, "/fleet")
 }
 
-// pollServices calls each for every control service ten times a second until stop is called.
+// pollInterval is the time between two views that pollServices gets of a service.
+const pollInterval = 100 * time.Millisecond
+
+// pollServices calls each for every control service at pollInterval until stop is called.
 func pollServices(
 	opt *Options, each func(ctx context.Context, service int, addr string, at time.Duration),
 ) (stop func()) {
@@ -77,7 +80,7 @@
 					each(ctx, i, addr, time.Since(began))
 					select {
 					case <-ctx.Done():
-					case <-time.After(100 * time.Millisecond):
+					case <-time.After(pollInterval):
 					}
 				}
 			})
@@ -100,37 +103,49 @@
 }
 
 // While the offered load is twice the capacity, the control service publishes a shedding threshold and
-// all nodes follow it. Before the overload and soon after it there is none.
+// all nodes follow it: a node hears of it in the answer to its next report and says so in the one after, so that
+// the view shows it two report intervals later. Before the overload and soon after it there is none.
 func TestThresholdFollowsOverload(t *testing.T) {
-	s := scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 9\ntogether = told\ncontrol = 1\n"+
-		"[load]\nsteps = 0s 0.5, 3s 2, 6s 0.5\n[dispatchers]\nwalk = 2\nheed = 0\n"+twoClasses)
+	const reportInterval = 700 * time.Millisecond // of the nodes
+	s := scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 10\ntogether = told\ncontrol = 1\n"+
+		"[load]\nsteps = 0s 0.5, 3s 2, 7s 0.5\n[dispatchers]\nwalk = 2\nheed = 0\n"+twoClasses)
 	var mu sync.Mutex
-	var early, during, late, allFollow int
+	var early, during, late, notFollowed int
+	var published, followed time.Duration // first view with a threshold, and first with all nodes following it
 	r := pollFleet(t, s, build(t), func(at time.Duration, v fleetView) {
 		mu.Lock()
 		defer mu.Unlock()
 		overloaded := v.Digest.Threshold > 0
+		if !overloaded {
+			return
+		}
 		switch {
-		case at < 2900*time.Millisecond && overloaded:
+		case at < 2900*time.Millisecond:
 			early++
-		case at > 4500*time.Millisecond && at < 6*time.Second && overloaded:
+		case at > 4500*time.Millisecond && at < 6*time.Second:
 			during++
-			n := 0
-			for _, node := range v.Nodes {
-				if node.Follows == "the cut" {
-					n++
-				}
-			}
-			if n == 3 {
-				allFollow++
-			}
-		case at > 8*time.Second && overloaded:
+		case at > 9*time.Second:
 			late++
 		}
+		if published == 0 {
+			published = at
+		}
+		switch {
+		case at >= 7*time.Second:
+		case allFollow(v, 3):
+			if followed == 0 {
+				followed = at
+			}
+		case followed > 0:
+			notFollowed++
+		}
 	})
-	if early > 0 || during < 8 || late > 0 || allFollow < 3 {
-		t.Errorf("views with a threshold: %d before, %d during, %d after the overload; all nodes followed it in %d",
-			early, during, late, allFollow)
+	if early > 0 || during < 8 || late > 0 {
+		t.Errorf("views with a threshold: %d before, %d during, %d after the overload", early, during, late)
+	}
+	if followed == 0 || followed-published > 2*reportInterval+2*pollInterval || notFollowed > 0 {
+		t.Errorf("a threshold was published at %v, all nodes followed it at %v, later they did not in %d views",
+			published, followed, notFollowed)
 	}
 	over, _ := r.Between(4, 6)
 	before, _ := r.Between(1, 3)
@@ -139,6 +154,17 @@
 	}
 }
 
+// allFollow reports whether the given number of nodes follow the fleet's threshold.
+func allFollow(v fleetView, nodes int) bool {
+	n := 0
+	for _, node := range v.Nodes {
+		if node.Follows == "the cut" {
+			n++
+		}
+	}
+	return n == nodes
+}
+
 // If the control service is killed during an overload, the nodes shed on their own and utility stays
 // about the same. After its restart they follow the digests of its new epoch.
 func TestControlServiceLost(t *testing.T) {
@@ -275,10 +301,11 @@
 }
 
 // First tries that would exceed the queue timeout are refused at once instead of waiting in the queue.
-// Without load shedding the same scenario refuses clearly fewer of them promptly.
+// Without load shedding the same scenario refuses clearly fewer of them promptly. The utility of 5 s varies
+// by 2 % from play to play, by which requests find a slot, so that 20 s are compared.
 func TestRefusedPromptly(t *testing.T) {
 	runWith := func(together string) *Report {
-		return run(t, scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 7\ntogether = "+together+
+		return run(t, scenario(t, "[fleet]\nnodes = 3\ncores = 2\nseconds = 22\ntogether = "+together+
 			"\n[load]\nsteps = 0s 0.5, 1s 1.6\n[dispatchers]\nwalk = 2\n"+twoClasses), build(t))
 	}
 	with, without := runWith("alone"), runWith("off")
@@ -289,8 +316,9 @@
 		t.Errorf("%.3f refused promptly without load shedding, %.3f with it: the scenario shows no difference",
 			without.PromptRefusalShare, with.PromptRefusalShare)
 	}
-	a, _ := with.Between(2, 7)
-	b, _ := without.Between(2, 7)
+	a, _ := with.Between(2, 22)
+	b, _ := without.Between(2, 22)
+	t.Logf("utility %.0f with load shedding, %.0f without", a.Utility, b.Utility)
 	if a.Utility < 0.97*b.Utility {
 		t.Errorf("utility %.0f with load shedding, %.0f without", a.Utility, b.Utility)
 	}
--- a/internal/store/open.go
+++ b/internal/store/open.go
@@ -160,9 +160,7 @@
 		}
 		scans[i] = result
 		for seg, from := range result.voids {
-			if other, ok := voids[seg]; !ok || from < other {
-				voids[seg] = from
-			}
+			addVoid(voids, seg, from)
 		}
 	}
 	for i, f := range all {
--- a/internal/store/rotate.go
+++ b/internal/store/rotate.go
@@ -35,9 +35,9 @@
 	return nil
 }
 
-// abandonSegment seals a segment whose sync failed: what the disk holds of the bytes since
-// the last successful sync is unknown, and a repeated sync could succeed without them. The next segment
-// voids those bytes and holds the acknowledged writes among them again.
+// abandonSegment seals a segment whose sync failed, or that has bytes of a failed write: what the disk
+// holds of the bytes since the last successful sync is unknown, and a repeated sync could succeed without
+// them. The next segment voids those bytes and holds the acknowledged writes among them again.
 func (s *Store) abandonSegment(g *segment) {
 	s.Stats.AbandonedSegments.Add(1)
 	s.voidRanges = append(s.voidRanges, voidRange{g.id, g.syncedEnd})
--- a/internal/store/scan.go
+++ b/internal/store/scan.go
@@ -54,6 +54,13 @@
 
 const readBufferSize = 1 << 20 // bytes
 
+// addVoid notes that a segment is not valid from an offset on. The smallest offset counts.
+func addVoid(voids map[uint64]int64, segmentID uint64, from int64) {
+	if other, known := voids[segmentID]; !known || from < other {
+		voids[segmentID] = from
+	}
+}
+
 // scanSegment finds the records of a segment from an offset on. Where there is no valid
 // record it searches, byte by byte, for the next one.
 func (s *Store) scanSegment(f segmentFile, from int64) (*scanResult, error) {
@@ -92,7 +99,7 @@
 				}
 				if r.kind == recordVoid {
 					if seg, validEnd, err := r.decodeVoid(); err == nil {
-						result.voids[seg] = validEnd
+						addVoid(result.voids, seg, validEnd)
 					}
 				}
 				result.synced = max(result.synced, r.synced)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -364,6 +364,62 @@
 	}
 }
 
+// Guards against buffered writes that a power cut takes after a successful Sync: a segment whose failed write could
+// not be truncated was left as it was, and the next Sync looked at its successor only.
+func TestSyncAfterFailedTruncation(t *testing.T) {
+	h := newHarness(t)
+	h.apply(Durable, "a", "1")
+	h.apply(Buffered, "b", "2")
+	h.disk.Fail(func(o vfs.Op) error {
+		switch o.Kind {
+		case vfs.OpWrite:
+			return &vfs.Torn{N: len(o.Data) / 2, Err: syscall.EIO}
+		case vfs.OpTruncate:
+			return syscall.EIO
+		}
+		return nil
+	})
+	if err := h.s.Put("a", []byte("lost"), 0, Buffered); err == nil {
+		t.Fatal("a write to a failing disk succeeded")
+	}
+	h.disk.Fail(nil)
+	if err := h.s.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	for i, cut := range []vfs.Cut{vfs.KeepAll, vfs.KeepNone} {
+		s, rec := reopen(t, h.disk.After(h.disk.Ops(), cut), h.now)
+		if got := contents(t, s); !maps.Equal(got, h.expected()) || len(rec.Damaged) > 0 {
+			t.Errorf("cut %d: contents are %v, want %v; damaged %v", i, got, h.expected(), rec.Damaged)
+		}
+	}
+	h.apply(Durable, "c", "3")
+	if h.s.Stats.AbandonedSegments.Load() != 1 {
+		t.Error("the segment was not abandoned")
+	}
+}
+
+// The smallest of several voids of one segment in one file counts, as it does across files.
+func TestSmallestVoidCounts(t *testing.T) {
+	disk := vfs.NewMem(false)
+	file, err := disk.Create("/voids")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const salt, other = 1, 7
+	var records []byte
+	for _, from := range []int64{100, 300, 200} {
+		records = appendVoid(records, salt, headerSize+int64(len(records)), other, from)
+	}
+	if _, err := file.WriteAt(records, headerSize); err != nil {
+		t.Fatal(err)
+	}
+	f := segmentFile{segment: &segment{name: "voids", salt: salt, file: file}, headerOK: true, size: headerSize + int64(len(records))}
+	result, err := (&Store{}).scanSegment(f, 0)
+	if err != nil || result.voids[other] != 100 {
+		t.Errorf("voids %v, want one from 100 on; %v", result.voids, err)
+	}
+}
+
 // Compares the store with a map under random operations, restarts and crashes of the process.
 func TestAgainstMap(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -192,7 +192,7 @@
 		durable = durable || write.durable
 	}
 	if _, err := g.file.WriteAt(s.writeBuffer, g.end); err != nil {
-		s.truncateFailedWrite(g, err)
+		s.truncateFailedWrite(g)
 		return fmt.Errorf("write %s: %w", g.name, err)
 	}
 	size := int64(len(s.writeBuffer))
@@ -223,11 +223,10 @@
 }
 
 // truncateFailedWrite removes the bytes that a failed write may have left after the end of
-// a segment. If that fails too, the segment is sealed and those bytes are voided.
-func (s *Store) truncateFailedWrite(g *segment, _ error) {
+// a segment. If that fails too, the segment is abandoned.
+func (s *Store) truncateFailedWrite(g *segment) {
 	if err := g.file.Truncate(g.end); err != nil {
-		s.voidRanges = append(s.voidRanges, voidRange{g.id, g.end})
-		s.seal(g)
+		s.abandonSegment(g)
 	}
 }
 
