store: what a file hides counts until the file is removed and the directory synced

Harm: a deleted key had its old value again after a restart, if compaction could not remove the file with that value, or a power cut kept a later removal and not an earlier one.

Cause: compaction changed the index, dropping stale records and then the deletion that hid them, before it removed the files, and did not sync the directory between two passes of which the second had no live records.

Change: files first, then the sync of the directory, then the index.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -119,6 +119,7 @@
 
 // relocation is a record that a pass copied or dropped.
 type relocation struct {
+	victimID uint64 // of the segment that holds the record
 	from     item   // the index entry before the pass
 	to       item   // the entry of the copy
 	copied   bool   // false = dropped
@@ -128,7 +129,8 @@
 // rewriteSegments copies the live records of the victims into one new segment and removes
 // the victims, or sets them aside if they are damaged. Nothing else changes before the new
 // segment is synced under its final name, so a crash or a full disk at any point leaves at
-// worst a file to be removed.
+// worst a file to be removed. What the victims' stale records hide changes only with
+// their removal.
 func (s *Store) rewriteSegments(ctx context.Context, victims []*segment) (err error) {
 	newHeader := header{salt: s.opt.Salt()}
 	s.mu.Lock()
@@ -183,25 +185,51 @@
 		}
 	}
 	target.syncedEnd = target.end
-	s.applyRelocations(target, hasLive, victims, list)
 	if !hasLive {
 		_ = f.Close()
 		renamed = true
 		_ = s.fs.Remove(temp) // on an error, Open removes it
 	}
+	removed, err := s.removeVictims(victims)
+	s.applyRelocations(target, hasLive, removed, list)
+	for _, victim := range removed {
+		victim.release()
+	}
+	return err
+}
+
+// removeVictims removes the files of the victims, or sets them aside if they are damaged, and returns those
+// victims whose files not even a power cut brings back. The others remain segments of the store, to be removed by
+// a later pass: their records would count again at the next opening.
+func (s *Store) removeVictims(victims []*segment) (removed []*segment, err error) {
 	for _, victim := range victims {
-		path := vfs.Join(s.dir, victim.name)
-		if len(victim.faults) > 0 {
-			setAsidePath := vfs.Join(s.dir, segmentName(victim.id, victim.salt, damagedSuffix))
-			if err := s.fs.Rename(path, setAsidePath); err != nil {
-				return err
-			}
-		} else if err := s.fs.Remove(path); err != nil {
-			return err
+		if err = s.removeVictim(victim); err != nil {
+			break
 		}
-		victim.release()
+		removed = append(removed, victim)
+	}
+	if len(removed) == 0 {
+		return nil, err
+	}
+	if syncErr := s.fs.SyncDir(s.dir); syncErr != nil {
+		return nil, errors.Join(err, syncErr)
+	}
+	return removed, err
+}
+
+// removeVictim removes the file of a victim, or sets it aside if it is damaged. An earlier pass may have done so.
+func (s *Store) removeVictim(victim *segment) error {
+	path := vfs.Join(s.dir, victim.name)
+	var err error
+	if len(victim.faults) > 0 {
+		err = s.fs.Rename(path, vfs.Join(s.dir, segmentName(victim.id, victim.salt, damagedSuffix)))
+	} else {
+		err = s.fs.Remove(path)
+	}
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
 	}
-	return nil
+	return err
 }
 
 // copyLive appends the live records of a victim to the target, and adds a relocation for each
@@ -278,10 +306,10 @@
 				switch {
 				case !isCurrent && o.delete: // obsolete: a newer record replaced it, or it hides none
 				case !isCurrent:
-					list = append(list, relocation{staleKey: o.key})
+					list = append(list, relocation{victimID: victim.id, staleKey: o.key})
 				case current.deleted() && s.deletionObsolete(current, victim),
 					!current.deleted() && current.deletedOrExpired(s.opt.Now()) && current.staleRecords == 0:
-					list = append(list, relocation{from: current})
+					list = append(list, relocation{victimID: victim.id, from: current})
 				default:
 					to := current
 					to.segmentID = uint32(target.id)
@@ -293,7 +321,7 @@
 						newOp.value = slices.Clone(o.value)
 					}
 					ops = append(ops, newOp)
-					items = append(items, relocation{from: current, to: to, copied: true})
+					items = append(items, relocation{victimID: victim.id, from: current, to: to, copied: true})
 					size += newOp.size()
 					if size >= copyChunkSize {
 						return flush()
@@ -314,7 +342,7 @@
 		to := it
 		to.segmentID = uint32(target.id)
 		ops = append(ops, op{key: it.key, value: value, expiry: it.expiry, seq: it.seq})
-		items = append(items, relocation{from: it, to: to, copied: true})
+		items = append(items, relocation{victimID: victim.id, from: it, to: to, copied: true})
 		if size += len(value); size >= copyChunkSize {
 			if err := flush(); err != nil {
 				return list, err
--- a/internal/store/index.go
+++ b/internal/store/index.go
@@ -28,6 +28,11 @@
 // deleted reports whether the item marks a deletion.
 func (it *item) deleted() bool { return it.meta&deletedSize == deletedSize }
 
+// isRecord reports whether the item refers to the same record on the disk as other.
+func (it *item) isRecord(other *item) bool {
+	return it.segmentID == other.segmentID && it.offset == other.offset
+}
+
 // valueSize is the size of the value in bytes.
 func (it *item) valueSize() int {
 	if it.deleted() {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -398,6 +398,78 @@
 	}
 }
 
+// withDeletion returns a store with a key whose value is in one sealed segment and whose deletion in the next.
+func withDeletion(t *testing.T) *harness {
+	t.Helper()
+	h := newHarness(t)
+	for _, pairs := range [][]string{{"a", "1", "live", "x"}, {"a", ""}} {
+		h.apply(Durable, pairs...)
+		if err := h.s.runInWriter(h.s.rotate); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return h
+}
+
+// Guards against deleted keys that return: compaction dropped a deletion although the file with the deleted value
+// could not be removed, or its removal not be synced.
+func TestDeletionOutlivesSegmentThatStays(t *testing.T) {
+	for _, kind := range []vfs.OpKind{vfs.OpRemove, vfs.OpSyncDir} {
+		h := withDeletion(t)
+		stays := "" // the first file that is to be removed
+		h.disk.Fail(func(o vfs.Op) error {
+			if o.Kind == kind && (stays == "" || o.Name == stays) {
+				stays = o.Name
+				return syscall.EIO
+			}
+			return nil
+		})
+		for range 3 {
+			if err := h.s.Compact(context.Background()); err == nil {
+				t.Errorf("%v fails: compaction succeeded", kind)
+			}
+		}
+		if got := contents(t, h.s); !maps.Equal(got, h.expected()) {
+			t.Errorf("%v fails: contents are %v, want %v", kind, got, h.expected())
+		}
+		for _, cut := range []vfs.Cut{vfs.KeepAll, vfs.KeepNone} {
+			s, rec := reopen(t, h.disk.After(h.disk.Ops(), cut), h.now)
+			if got := contents(t, s); !maps.Equal(got, h.expected()) || len(rec.Damaged) > 0 {
+				t.Errorf("%v fails: contents after a restart are %v, want %v; damaged %v",
+					kind, got, h.expected(), rec.Damaged)
+			}
+		}
+		h.disk.Fail(nil)
+		if err := h.s.Compact(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		s, _ := reopen(t, h.disk.After(h.disk.Ops(), vfs.KeepAll), h.now)
+		if got := contents(t, s); !maps.Equal(got, h.expected()) {
+			t.Errorf("contents after the disk works again are %v, want %v", got, h.expected())
+		}
+		if names, err := h.disk.List(dir); err != nil || len(names) > 3 {
+			t.Errorf("files after the disk works again: %v, %v", names, err)
+		}
+	}
+}
+
+// Guards against deleted keys that return after a power cut which keeps a later removal of a file and not an earlier
+// one.
+func TestDeletionOutlivesRemovalsInAnyOrder(t *testing.T) {
+	h := withDeletion(t)
+	began := h.disk.Ops()
+	if err := h.s.Compact(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	last := func(o vfs.Op, i, of int) (bool, int) { return i == of-1, len(o.Data) }
+	for n := began; n <= h.disk.Ops(); n++ {
+		s, _ := reopen(t, h.disk.After(n, last), h.now)
+		if got := contents(t, s); !maps.Equal(got, h.expected()) {
+			t.Fatalf("cut after operation %d: contents are %v, want %v", n, got, h.expected())
+		}
+	}
+}
+
 // The smallest of several voids of one segment in one file counts, as it does across files.
 func TestSmallestVoidCounts(t *testing.T) {
 	disk := vfs.NewMem(false)
