control: the shown state of a known node is updated with 20,000 nodes too

With 20,000 recorded shedding states those of known nodes were not updated any more, and were gone from the view 3 s later. Only new nodes are left out now. TestSheddingStateOfKnownNodeIsUpdated fails with the old condition.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -463,3 +463,16 @@
 		return got["a"] == "the cut" && got["b"] == "hears no digest" && got["c"] == "" && got["d"] == "alone"
 	})
 }
+
+// A node whose state is recorded stays up to date though no more nodes can be recorded.
+func TestSheddingStateOfKnownNodeIsUpdated(t *testing.T) {
+	s := &Service{sheddingStates: map[string]sheddingState{}}
+	for i := range maxSheddingStates {
+		s.recordSheddingState(fmt.Sprint(i), sheddingState{})
+	}
+	s.recordSheddingState("0", sheddingState{threshold: 1})
+	s.recordSheddingState("another", sheddingState{threshold: 1})
+	if s.sheddingStates["0"].threshold != 1 || len(s.sheddingStates) != maxSheddingStates {
+		t.Errorf("threshold %v of a known node, %d states", s.sheddingStates["0"].threshold, len(s.sheddingStates))
+	}
+}
--- a/internal/control/http.go
+++ b/internal/control/http.go
@@ -105,6 +105,14 @@
 	Follows string `json:"follows,omitempty"`
 }
 
+// recordSheddingState records what a node reported about the digest it follows, unless the node is new and
+// maxSheddingStates are recorded; s.mu must be held.
+func (s *Service) recordSheddingState(name string, state sheddingState) {
+	if _, known := s.sheddingStates[name]; known || len(s.sheddingStates) < maxSheddingStates {
+		s.sheddingStates[name] = state
+	}
+}
+
 // writeJSON answers with v as JSON.
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
@@ -163,10 +171,8 @@
 		if loadReport.WantsDigest && s.digest.Epoch != 0 {
 			response.Digest = &s.digest
 		}
-		if len(s.sheddingStates) < maxSheddingStates {
-			s.sheddingStates[name] = sheddingState{threshold: loadReport.Threshold, digestTrust: loadReport.DigestTrust,
-				wantsDigest: loadReport.WantsDigest, reportedAt: s.now()}
-		}
+		s.recordSheddingState(name, sheddingState{threshold: loadReport.Threshold, digestTrust: loadReport.DigestTrust,
+			wantsDigest: loadReport.WantsDigest, reportedAt: s.now()})
 	}
 	if extensions.recovery != nil {
 		response.Capacity = math.Round(100*s.capacity) / 100
