A keyed run that is stopped before its intent is durable leaves its key free

A run whose intent was being written and that was stopped never began, but its key counted as used: repeats failed until its window ended, though a restarted node ran them. It ends like a run whose intent could not be written now: nothing ran, and a repeat may run.

TestRunStoppedBeforeIntentNeverBegins failed before (the repeat got a failure), and fails too if stopping does not close the gate.

--- a/internal/node/resultcache.go
+++ b/internal/node/resultcache.go
@@ -179,25 +179,25 @@
 	return n.now + n.cfg.Settings.Classes[req.x.Class].Deadline
 }
 
-// handleIntent handles an intent after whose write the run was not started. A request whose intent could
-// not be written fails, and may be tried again: nothing ran.
+// handleIntent handles an intent after whose write the run was not started, because it was stopped or the write
+// failed. Nothing ran, so the request may be tried again.
 func (n *Node) handleIntent(e event) {
 	req := n.byExchange[e.x]
 	if req == nil {
 		return
 	}
-	switch {
-	case req.intentGate.Swap(noGate) == gateStopped:
-		n.cfg.ResultCache.Withdraw(req.x)
-		n.handleRunEnd(event{x: req.x, outcome: pool.Cancelled, recorded: true})
-	case e.err != nil && n.cfg.ResultCache.RunsUnrecorded(e.err):
+	stopped := req.intentGate.Swap(noGate) == gateStopped
+	if !stopped && e.err != nil && n.cfg.ResultCache.RunsUnrecorded(e.err) {
 		n.pool.StartRun(req.x)
-	default:
-		if req.record != nil {
-			n.records.remove(req.record)
-		}
-		n.handleRunEnd(event{x: req.x, outcome: pool.NeverStarted, recorded: true})
+		return
+	}
+	if stopped {
+		n.cfg.ResultCache.Withdraw(req.x)
+	}
+	if req.record != nil {
+		n.records.remove(req.record)
 	}
+	n.handleRunEnd(event{x: req.x, outcome: pool.NeverStarted, recorded: true})
 }
 
 // storeOutcome stores how a run ended. It reports whether the answer waits for that: if
--- a/internal/node/resultcache_test.go
+++ b/internal/node/resultcache_test.go
@@ -398,6 +398,38 @@
 	b.eventually("a run once the record expired", func() bool { return b.hasRun(y) })
 }
 
+// Guards against runs that begin for nobody: a run that is stopped before its intent is durable never begins, and its
+// key is free again, in this incarnation and the next.
+func TestRunStoppedBeforeIntentNeverBegins(t *testing.T) {
+	disk := vfs.NewMem(false)
+	a := startIncarnation(t, disk, 1000, time.Hour, nil)
+	release := blockDisk(disk)
+	x := a.send(1, withKey("k"))
+	x.Abandon(exchange.EndedCallerGone)
+	a.CallerGone(x)
+	a.runBatches()
+	host{a.Node}.Preempt(a.byExchange[x].id)
+	release()
+	a.eventually("the end of the request", func() bool { return len(a.byExchange) == 0 })
+	if err := a.cache.Store().Sync(); err != nil {
+		t.Fatal(err)
+	}
+	a.runBatches()
+	if a.hasRun(x) {
+		t.Error("it ran")
+	}
+	b := startIncarnation(t, disk.Clone(), 1050, 10*time.Millisecond, nil)
+	for _, incarnation := range []*incarnation{a, b} {
+		repeat := incarnation.send(1, withKey("k"))
+		incarnation.eventually("a run or an answer", func() bool {
+			return incarnation.hasRun(repeat) || incarnation.hasAnswer(repeat)
+		})
+		if !incarnation.hasRun(repeat) {
+			t.Errorf("the repeat did not run: %+v", incarnation.answers[repeat.Tag])
+		}
+	}
+}
+
 // Unsafe work waits for its intent if configured so. The next incarnation logs the
 // requests that may have run, and keeps no record of them.
 func TestUnsafeIntent(t *testing.T) {
