A node that exits no longer crashes if something logs meanwhile

Harm: at the exit a line of a component that did not stop in time, or of a connection's goroutine, was sent on a closed channel: a panic and status 2 where the drain had ended well. After a failure, which does not wait for the other components, the same.

--- a/cmd/robinmast/log_test.go
+++ b/cmd/robinmast/log_test.go
@@ -56,3 +56,19 @@
 	}
 	close(out.free)
 }
+
+// Guards against a crash at the exit: a component that did not stop in time, or another one after a failure, logs while
+// the log is closed.
+func TestLogAfterClose(t *testing.T) {
+	out := &blockedWriter{free: make(chan struct{})}
+	close(out.free)
+	w := newLogWriter(out)
+	fmt.Fprintln(w, "before")
+	w.close(5 * time.Second)
+	if _, err := fmt.Fprintln(w, "after"); err != nil {
+		t.Error(err)
+	}
+	if got := out.got.String(); got != "before\n" {
+		t.Errorf("written %q", got)
+	}
+}
--- a/cmd/robinmast/main.go
+++ b/cmd/robinmast/main.go
@@ -54,35 +54,29 @@
 		return failure{error: err, status: statusConfig}
 	}
 	out := newLogWriter(os.Stderr)
+	defer out.close(logFlush)
 	log := newLog(out, iniConfig.Log).With("node", cfg.Name)
 	results, err := openResultCache(cfg, log)
 	if err != nil {
-		out.close(logFlush)
 		return failure{error: err, status: statusFailed}
 	}
 	recoveryManager, closeStore, err := openRecovery(cfg, results, processStart, log)
 	if err != nil {
-		out.close(logFlush)
 		return failure{error: err, status: statusFailed}
 	}
 	defer closeStore()
 	ln, err := listen(cfg.Listen, leave, log)
 	if err != nil {
-		out.close(logFlush)
 		return failure{error: fmt.Errorf("listen: %w", err), status: statusFailed}
 	}
 	if ln == nil {
 		log.Info("notice to leave before the node listened")
-		out.close(logFlush)
 		return nil
 	}
 	err = serve(cfg, results, recoveryManager, ln, notices{leave, other},
 		func() (*platform, error) { return load(os.Getenv) }, log)
 	if err != nil {
 		log.Error("node failed", "err", err)
-	}
-	out.close(logFlush)
-	if err != nil {
 		return failure{error: err, status: statusFailed, silent: true}
 	}
 	return nil
--- a/cmd/robinmast/open.go
+++ b/cmd/robinmast/open.go
@@ -35,7 +35,7 @@
 }
 
 // openRecovery starts the recovery to full service, nil if [comeback] is off. closeStore
-// closes the snapshot's store if openRecovery opened one; it is never nil.
+// closes the snapshot's store if openRecovery opened one, or gives up after minStopWait; it is never nil.
 func openRecovery(
 	cfg *platform, results *resultcache.Cache, processStart time.Time, log *slog.Logger,
 ) (recoveryManager *recovery.Manager, closeStore func(), err error) {
@@ -58,12 +58,23 @@
 			break
 		}
 		c.Store, c.StoreRecovery = s, rec
-		closeStore = func() {
-			if err := s.Close(); err != nil {
-				log.Error("closing the snapshot store failed", "err", err)
-			}
-		}
+		closeStore = func() { closeWithin(minStopWait, s.Close, log) }
 	}
 	recoveryManager, err = recovery.Open(c, processStart)
 	return recoveryManager, closeStore, err
 }
+
+// closeWithin closes the snapshot's store, but waits no longer than timeout: a disk that hangs does not keep the
+// process from ending.
+func closeWithin(timeout time.Duration, closeStore func() error, log *slog.Logger) {
+	closed := make(chan error, 1)
+	go func() { closed <- closeStore() }()
+	select {
+	case err := <-closed:
+		if err != nil {
+			log.Error("closing the snapshot store failed", "err", err)
+		}
+	case <-time.After(timeout):
+		log.Error("the snapshot store did not close in time", "most", timeout)
+	}
+}
