store: copying live records is a type of its own, one short function a step

copyLive was one function of 130 lines with a closure that wrote. It is internal/store/copy.go now: a segmentCopier that reads records, decides on each operation and writes in chunks.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	copyChunkSize   = 256 << 10 // bytes written at a time
-	mergeThreshold  = 8         // more segments below half of segmentSize than this are merged
-	minGarbageShare = 0.05      // smallest share of garbage for which a segment is rewritten
+	mergeThreshold  = 8    // more segments below half of segmentSize than this are merged
+	minGarbageShare = 0.05 // smallest share of garbage for which a segment is rewritten
 )
 
 // Compact rewrites all segments with garbage, sets damaged ones aside and writes a
@@ -117,15 +116,6 @@
 	return true, nil
 }
 
-// relocation is a record that a pass copied or dropped.
-type relocation struct {
-	victimID uint64 // of the segment that holds the record
-	from     item   // the index entry before the pass
-	to       item   // the entry of the copy
-	copied   bool   // false = dropped
-	staleKey string // set instead of from: key of a stale record with a value that was dropped
-}
-
 // rewriteSegments copies the live records of the victims into one new segment and removes
 // the victims, or sets them aside if they are damaged. Nothing else changes before the new
 // segment is synced under its final name, so a crash or a full disk at any point leaves at
@@ -159,9 +149,11 @@
 	}()
 	var list []relocation
 	for _, victim := range victims {
-		if list, err = s.copyLive(ctx, victim, target, list); err != nil {
+		relocations, err := s.copyLive(ctx, victim, target)
+		if err != nil {
 			return err
 		}
+		list = append(list, relocations...)
 	}
 	newHeader.end = uint64(target.end)
 	hasLive := target.end > headerSize
@@ -231,123 +223,3 @@
 	}
 	return err
 }
-
-// copyLive appends the live records of a victim to the target, and adds a relocation for each
-// record that it copied or dropped to list.
-func (s *Store) copyLive(ctx context.Context, victim, target *segment, list []relocation) ([]relocation, error) {
-	f := segmentFile{segment: victim, headerOK: true, size: victim.end}
-	result, err := s.scanSegment(f, 0)
-	if err != nil {
-		return list, err
-	}
-	if len(result.holes) > 0 { // none were known when the victim was selected
-		s.mu.Lock()
-		for _, h := range result.holes {
-			if (h.from < result.synced || !victim.torn) && len(victim.faults) < maxFaults {
-				victim.faults = append(victim.faults, Fault{
-					File: victim.name, Offset: h.from, Size: h.to - h.from, Reason: result.reason,
-				})
-			}
-		}
-		s.mu.Unlock()
-	}
-	reader := &bufferedReader{file: victim.file, size: victim.end}
-	var ops []op
-	var items []relocation
-	size, read := 0, 0
-	flush := func() error {
-		if len(ops) == 0 {
-			return nil
-		}
-		var buf []byte
-		for i := range ops { // one record each: later damage then costs a single operation
-			off := target.end + int64(len(buf))
-			buf = appendRecord(buf, target.salt, off, off, ops[i:i+1], func(_ int, off, overhead int64) {
-				items[i].to.offset, items[i].to.meta = uint32(off), packMeta(&ops[i], overhead)
-			})
-		}
-		if err := s.throttle(ctx, len(buf)+read); err != nil {
-			return err
-		}
-		if _, err := target.file.WriteAt(buf, target.end); err != nil {
-			return err
-		}
-		s.Stats.Rewritten.Add(int64(len(buf)))
-		target.end += int64(len(buf))
-		list = append(list, items...)
-		ops, items, size, read = nil, nil, 0, 0
-		return nil
-	}
-	for _, sp := range result.spans {
-		for off := sp.from; off < sp.to; {
-			head, err := reader.at(off, recordHeaderSize)
-			if err != nil {
-				return list, err
-			}
-			r, _, ok := decodeRecordHeader(head, victim.salt, off)
-			if !ok {
-				return list, fmt.Errorf("read %s at %d: file changed during compaction", victim.name, off)
-			}
-			b, err := reader.at(off, int(r.size))
-			if err != nil || int64(len(b)) < r.size {
-				return list, errors.Join(fmt.Errorf("read %s at %d: file changed during compaction", victim.name, off), err)
-			}
-			r.body = b[recordHeaderSize:]
-			off += r.size
-			read += int(r.size)
-			if r.kind != recordBatch {
-				continue
-			}
-			rerr := r.decodeOps(func(o op, opOffset, _ int64) error {
-				s.mu.RLock()
-				current, exists := s.index.Get(item{key: o.key})
-				s.mu.RUnlock()
-				isCurrent := exists && uint64(current.segmentID) == victim.id && int64(current.offset) == opOffset
-				switch {
-				case !isCurrent && o.delete: // obsolete: a newer record replaced it, or it hides none
-				case !isCurrent:
-					list = append(list, relocation{victimID: victim.id, staleKey: o.key})
-				case current.deleted() && s.deletionObsolete(current, victim),
-					!current.deleted() && current.deletedOrExpired(s.opt.Now()) && current.staleRecords == 0:
-					list = append(list, relocation{victimID: victim.id, from: current})
-				default:
-					to := current
-					to.segmentID = uint32(target.id)
-					newOp := op{key: current.key, expiry: current.expiry, seq: current.seq, delete: o.delete}
-					if !current.deleted() && current.deletedOrExpired(s.opt.Now()) { // expired, but it still hides older records
-						newOp.delete, newOp.expiry, to.expiry = true, 0, 0
-					}
-					if !newOp.delete {
-						newOp.value = slices.Clone(o.value)
-					}
-					ops = append(ops, newOp)
-					items = append(items, relocation{victimID: victim.id, from: current, to: to, copied: true})
-					size += newOp.size()
-					if size >= copyChunkSize {
-						return flush()
-					}
-				}
-				return nil
-			})
-			if rerr != nil {
-				return list, rerr
-			}
-		}
-	}
-	for _, it := range s.valuesInHoles(victim, result.holes) {
-		value, err := s.read(victim, it)
-		if err != nil {
-			continue // lost; read recorded the fault
-		}
-		to := it
-		to.segmentID = uint32(target.id)
-		ops = append(ops, op{key: it.key, value: value, expiry: it.expiry, seq: it.seq})
-		items = append(items, relocation{victimID: victim.id, from: it, to: to, copied: true})
-		if size += len(value); size >= copyChunkSize {
-			if err := flush(); err != nil {
-				return list, err
-			}
-		}
-	}
-	return list, flush()
-}
