store: compaction frees bytes before it removes files; replaced values raise no bound

- Cause: spaceNeeded took all bytes of a group for growth of the live data, by which the bound grows twice, so that writes that replace values could exceed it by their size.
It showed once compaction was slow enough to be waited for: copying built an error text for each record that it read.
Only new keys count as growth now, and the header of a new segment as used; the text is built when there is an error.
- The bytes of victims count as free before their files are removed, as before; what hides their stale records still goes only after that.
Instead of a second sync of the directory, a pass without live records syncs it before it removes files: removals become durable in the order of the passes.

TestReplacedValuesDoNotRaiseBound fails if all bytes count as growth. Both DeletionOutlives tests and all others of the store pass.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -119,8 +119,8 @@
 // rewriteSegments copies the live records of the victims into one new segment and removes
 // the victims, or sets them aside if they are damaged. Nothing else changes before the new
 // segment is synced under its final name, so a crash or a full disk at any point leaves at
-// worst a file to be removed. What the victims' stale records hide changes only with
-// their removal.
+// worst a file to be removed. What hides the victims' stale records may go only in a later
+// pass, which makes their removal durable before it removes a file itself.
 func (s *Store) rewriteSegments(ctx context.Context, victims []*segment) (err error) {
 	newHeader := header{salt: s.opt.Salt()}
 	s.mu.Lock()
@@ -176,23 +176,28 @@
 			return err
 		}
 	}
-	target.syncedEnd = target.end
 	if !hasLive {
+		// Removals of earlier passes become durable before those of this one, as with a new segment.
+		if err = s.fs.SyncDir(s.dir); err != nil {
+			return err
+		}
 		_ = f.Close()
 		renamed = true
 		_ = s.fs.Remove(temp) // on an error, Open removes it
 	}
+	target.syncedEnd = target.end
+	s.applyCopies(target, hasLive, victims, list)
 	removed, err := s.removeVictims(victims)
-	s.applyRelocations(target, hasLive, removed, list)
+	s.applyRemovals(victims, removed, list)
 	for _, victim := range removed {
 		victim.release()
 	}
 	return err
 }
 
-// removeVictims removes the files of the victims, or sets them aside if they are damaged, and returns those
-// victims whose files not even a power cut brings back. The others remain segments of the store, to be removed by
-// a later pass: their records would count again at the next opening.
+// removeVictims removes the files of the victims, or sets them aside if they are damaged, and returns the victims
+// for which that worked. The others remain segments of the store, to be removed by a later pass: their records would
+// count again at the next opening.
 func (s *Store) removeVictims(victims []*segment) (removed []*segment, err error) {
 	for _, victim := range victims {
 		if err = s.removeVictim(victim); err != nil {
@@ -200,12 +205,6 @@
 		}
 		removed = append(removed, victim)
 	}
-	if len(removed) == 0 {
-		return nil, err
-	}
-	if syncErr := s.fs.SyncDir(s.dir); syncErr != nil {
-		return nil, errors.Join(err, syncErr)
-	}
 	return removed, err
 }
 
--- a/internal/store/copy.go
+++ b/internal/store/copy.go
@@ -16,6 +16,7 @@
 	from     item   // the index entry before the pass
 	to       item   // the entry of the copy
 	copied   bool   // false = dropped
+	applied  bool   // the index refers to the copy, or did until the key was written again
 	staleKey string // set instead of from: key of a stale record with a value that was dropped
 }
 
@@ -94,23 +95,27 @@
 
 // readRecord reads the victim's record at an offset, which the scan found valid.
 func (c *segmentCopier) readRecord(reader *bufferedReader, off int64) (record, error) {
-	changed := fmt.Errorf("read %s at %d: file changed during compaction", c.victim.name, off)
 	head, err := reader.at(off, recordHeaderSize)
 	if err != nil {
 		return record{}, err
 	}
 	r, _, ok := decodeRecordHeader(head, c.victim.salt, off)
 	if !ok {
-		return record{}, changed
+		return record{}, c.errChanged(off)
 	}
 	b, err := reader.at(off, int(r.size))
 	if err != nil || int64(len(b)) < r.size {
-		return record{}, errors.Join(changed, err)
+		return record{}, errors.Join(c.errChanged(off), err)
 	}
 	r.body = b[recordHeaderSize:]
 	return r, nil
 }
 
+// errChanged returns the error for a record of the victim that was valid when the file was scanned.
+func (c *segmentCopier) errChanged(off int64) error {
+	return fmt.Errorf("read %s at %d: file changed during compaction", c.victim.name, off)
+}
+
 // copyOp copies, drops or passes over the operation at an offset of the victim.
 func (c *segmentCopier) copyOp(ctx context.Context, o *op, offset int64) error {
 	s := c.store
--- a/internal/store/relocate.go
+++ b/internal/store/relocate.go
@@ -39,9 +39,9 @@
 	return true
 }
 
-// applyRelocations makes the index refer to the copies, and forgets the victims that were removed. An entry that was
+// applyCopies makes the index refer to the copies, and counts the bytes of the victims as free. An entry that was
 // overwritten while its copy was made is not changed: the copy is stale then.
-func (s *Store) applyRelocations(target *segment, hasLive bool, removed []*segment, list []relocation) {
+func (s *Store) applyCopies(target *segment, hasLive bool, victims []*segment, list []relocation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if hasLive {
@@ -49,43 +49,69 @@
 		s.diskBytes += target.end
 		s.Stats.Reclaimed.Add(-target.end)
 	}
+	for i := range list {
+		move := &list[i]
+		if !move.copied {
+			continue
+		}
+		target.minSeq = min(target.minSeq, move.to.seq)
+		current, ok := s.index.Get(item{key: move.from.key})
+		if !ok || !current.isRecord(&move.from) {
+			continue
+		}
+		s.addLiveBytes(&current, -1)
+		move.to.staleRecords, move.applied = current.staleRecords, true
+		s.index.ReplaceOrInsert(move.to)
+		s.addLiveBytes(&move.to, 1)
+	}
+	for _, victim := range victims {
+		s.diskBytes -= victim.end
+		s.Stats.Reclaimed.Add(victim.end)
+	}
+}
+
+// applyRemovals updates the counts of stale records and forgets the victims that were removed. The others count as
+// used disk space again.
+func (s *Store) applyRemovals(victims, removed []*segment, list []relocation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	isRemoved := map[uint64]bool{}
 	for _, victim := range removed {
 		isRemoved[victim.id] = true
 	}
-	for _, move := range list {
-		if isRemoved[move.victimID] {
-			s.applyRelocation(target, &move)
-		} else if move.copied {
-			s.applyCopy(target, &move)
+	for i := range list {
+		if move := &list[i]; isRemoved[move.victimID] {
+			s.applyRemoval(move)
+		} else {
+			s.keepOriginal(move)
 		}
 	}
-	for _, victim := range removed {
-		s.forgetSegment(victim)
+	for _, victim := range victims {
+		if isRemoved[victim.id] {
+			s.forgetSegment(victim)
+			continue
+		}
+		s.diskBytes += victim.end
+		s.Stats.Reclaimed.Add(-victim.end)
 	}
 }
 
-// applyRelocation updates the index for a record whose segment was removed; the lock must be held.
-func (s *Store) applyRelocation(target *segment, move *relocation) {
+// applyRemoval updates the index entry that hid a record or referred to it, whose segment was removed; the lock must
+// be held.
+func (s *Store) applyRemoval(move *relocation) {
 	key := move.staleKey
 	if key == "" {
 		key = move.from.key
 	}
-	if move.copied {
-		target.minSeq = min(target.minSeq, move.to.seq)
-	}
 	current, ok := s.index.Get(item{key: key})
 	switch {
 	case !ok:
 	case move.staleKey != "": // the newest record of the key hides one record less
 		s.decrementStale(current)
-	case current.isRecord(&move.from):
-		if !move.copied {
-			s.addLiveBytes(&current, -1)
-			s.index.Delete(current)
-			return
-		}
-		s.moveEntry(current, move.to, current.staleRecords)
+	case move.applied:
+	case !move.copied && current.isRecord(&move.from):
+		s.addLiveBytes(&current, -1)
+		s.index.Delete(current)
 	case !move.from.deleted() && (!move.copied || move.to.deleted()):
 		// The record was overwritten meanwhile and counted as stale, and no copy of its
 		// value is left.
@@ -93,33 +119,18 @@
 	}
 }
 
-// applyCopy updates the index for a record that was copied and whose segment is still there, with a value that is
-// stale from now on; the lock must be held.
-func (s *Store) applyCopy(target *segment, move *relocation) {
-	target.minSeq = min(target.minSeq, move.to.seq)
-	current, ok := s.index.Get(item{key: move.from.key})
-	switch {
-	case !ok:
-	case current.isRecord(&move.from):
-		staleRecords := current.staleRecords
-		if !move.from.deleted() {
-			staleRecords++
-		}
-		s.moveEntry(current, move.to, staleRecords)
-	case !move.to.deleted(): // overwritten meanwhile, which counted the original and not the copy
+// keepOriginal counts the second record of a value that was copied and whose segment is still there; the lock must
+// be held. It is stale: the original, or the copy if the key was written again while it was made.
+func (s *Store) keepOriginal(move *relocation) {
+	if !move.copied || move.applied && move.from.deleted() || !move.applied && move.to.deleted() {
+		return
+	}
+	if current, ok := s.index.Get(item{key: move.from.key}); ok {
 		current.staleRecords++
 		s.index.ReplaceOrInsert(current)
 	}
 }
 
-// moveEntry makes the index refer to the copy of a current record; the lock must be held.
-func (s *Store) moveEntry(current, copied item, staleRecords uint32) {
-	s.addLiveBytes(&current, -1)
-	copied.staleRecords = staleRecords
-	s.index.ReplaceOrInsert(copied)
-	s.addLiveBytes(&copied, 1)
-}
-
 // forgetSegment forgets a segment whose file was removed or set aside; the lock must be held.
 func (s *Store) forgetSegment(victim *segment) {
 	if len(victim.faults) > 0 { // entries that could not be copied are lost
@@ -136,8 +147,6 @@
 		}
 	}
 	delete(s.segments, uint32(victim.id))
-	s.diskBytes -= victim.end
-	s.Stats.Reclaimed.Add(victim.end)
 }
 
 // decrementStale records that one of the records that an item hides was removed; the lock
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -538,6 +538,31 @@
 	})
 }
 
+// Guards against disk use beyond its bound: writes that replace values counted as growth of the live data, by which the
+// bound grows too.
+func TestReplacedValuesDoNotRaiseBound(t *testing.T) {
+	h := newHarness(t)
+	h.apply(Durable, "old", strings.Repeat("x", 1000))
+	group := func(keys ...string) []*pendingWrite {
+		var ops []op
+		size := int64(0)
+		for _, key := range keys {
+			ops = append(ops, op{key: key, value: make([]byte, 1000)})
+			size += int64(ops[len(ops)-1].size())
+		}
+		return []*pendingWrite{{ops: ops, size: size}}
+	}
+	h.s.diskBytes = 2*h.s.liveBytes + h.s.opt.SlackBytes - 900
+	for _, c := range []struct {
+		group []*pendingWrite
+		over  bool
+	}{{group("new"), false}, {group("old"), true}, {group("new", "new", "new"), true}} {
+		if over, _ := h.s.spaceNeeded(c.group); over != c.over {
+			t.Errorf("%q: over %v, want %v", c.group[0].ops[0].key, over, c.over)
+		}
+	}
+}
+
 // On the operating system's file system, concurrent writers must share syncs, and disk use
 // must stay within its bound while all keys are overwritten repeatedly.
 func TestGroupCommitAndBound(t *testing.T) {
--- a/internal/store/writer.go
+++ b/internal/store/writer.go
@@ -244,12 +244,8 @@
 	if s.opt.Manual {
 		return
 	}
-	size := int64(0)
-	for _, write := range group {
-		size += write.size + recordHeaderSize
-	}
 	for range 8 {
-		over, activeGarbage := s.spaceNeeded(size)
+		over, activeGarbage := s.spaceNeeded(group)
 		if !over || s.compactionFailing.Load() { // a full disk must not delay writes: they fail, or still fit
 			return
 		}
@@ -267,15 +263,36 @@
 	}
 }
 
-// spaceNeeded reports whether size more bytes would exceed the bound of disk use, and how many bytes of the
-// active segment are garbage. Only the writer may call it.
-func (s *Store) spaceNeeded(size int64) (over bool, activeGarbage int64) {
+// spaceNeeded reports whether a group would exceed the bound of disk use, and how many bytes of the active segment
+// are garbage. Only the writer may call it.
+func (s *Store) spaceNeeded(group []*pendingWrite) (over bool, activeGarbage int64) {
+	size := int64(headerSize) // of a new segment, should there be one
+	for _, write := range group {
+		size += write.size + recordHeaderSize
+	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if s.active != nil {
 		activeGarbage = s.active.end - s.active.liveBytes
 	}
-	return s.diskBytes+size > 2*(s.liveBytes+size)+s.opt.SlackBytes, activeGarbage
+	return s.diskBytes+size > 2*(s.liveBytes+s.newBytes(group))+s.opt.SlackBytes, activeGarbage
+}
+
+// newBytes returns by how much a group makes the live data grow at least: what replaces a value or a deletion does not
+// count. The lock must be held.
+func (s *Store) newBytes(group []*pendingWrite) (n int64) {
+	added := map[string]bool{}
+	for _, write := range group {
+		for i := range write.ops {
+			o := &write.ops[i]
+			if o.delete || added[o.key] || s.index.Has(item{key: o.key}) {
+				continue
+			}
+			added[o.key] = true
+			n += int64(len(o.key) + len(o.value))
+		}
+	}
+	return n
 }
 
 // syncBeforeExit syncs all acknowledged writes before the writer ends.
