store: a test that stale records are counted exactly, also where files stay

TestStaleRecordsAreCountedExactly plays writes, deletions and compactions of which half of the removals fail, 20 seeds, and compares the counts with those of an opening that reads the whole log. It fails if the second record of a value whose file stays is not counted.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -470,6 +470,53 @@
 	}
 }
 
+// Guards against deletions that go too early or never: the index counts the stale records of each key exactly, also
+// after compactions that could not remove a file.
+func TestStaleRecordsAreCountedExactly(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		h := newHarness(t)
+		for range 12 {
+			for range 10 {
+				value := "v"
+				if random.IntN(4) == 0 {
+					value = ""
+				}
+				h.apply(Durable, fmt.Sprint("k", random.IntN(8)), value)
+			}
+			h.disk.Fail(func(o vfs.Op) error {
+				if o.Kind == vfs.OpRemove && random.IntN(2) == 0 {
+					return syscall.EIO
+				}
+				return nil
+			})
+			_ = h.s.Compact(context.Background()) // may fail
+			h.disk.Fail(nil)
+		}
+		opt := h.options()
+		opt.FS, opt.ignoreCheckpoint = h.disk.After(h.disk.Ops(), vfs.KeepAll), true
+		s, _, err := Open(dir, opt)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := staleRecords(h.s), staleRecords(s); !maps.Equal(got, want) {
+			t.Errorf("seed %d: the store counts %v, on the disk are %v", seed, got, want)
+		}
+	}
+}
+
+// staleRecords returns the number of stale records of each key that has any.
+func staleRecords(s *Store) map[string]uint32 {
+	counts := map[string]uint32{}
+	s.index.Ascend(func(it item) bool {
+		if it.staleRecords > 0 {
+			counts[it.key] = it.staleRecords
+		}
+		return true
+	})
+	return counts
+}
+
 // The smallest of several voids of one segment in one file counts, as it does across files.
 func TestSmallestVoidCounts(t *testing.T) {
 	disk := vfs.NewMem(false)
