store: a file that cannot be removed does not keep the others of its pass

The removal of a pass's files ended at the first that failed; the others were left for later passes, which met the same file first. All are tried now. The tests of removals, cuts, damage and full disks pass with the race detector.

--- a/internal/store/compact.go
+++ b/internal/store/compact.go
@@ -200,8 +200,9 @@
 // count again at the next opening.
 func (s *Store) removeVictims(victims []*segment) (removed []*segment, err error) {
 	for _, victim := range victims {
-		if err = s.removeVictim(victim); err != nil {
-			break
+		if removeErr := s.removeVictim(victim); removeErr != nil {
+			err = errors.Join(err, removeErr)
+			continue
 		}
 		removed = append(removed, victim)
 	}
