A test that a flood of other signals does not displace the notice to leave

The notice has a channel of its own, so that signals that fill the other one cannot displace it; nothing tested that. With one channel of 16 for all signals, as a mutant, the program does not exit and the test fails.

--- a/cmd/robinmast/lifecycle_test.go
+++ b/cmd/robinmast/lifecycle_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -200,6 +201,36 @@
 	}
 }
 
+// Guards against a notice to leave that other signals displace, so that the platform kills the node with requests
+// open: the notice comes once, amid a flood of signals that fills their channel.
+func TestNoticeAmidOtherSignals(t *testing.T) {
+	addr := ownAddress()
+	_, config := startEnvironment(t, addr)
+	p := launch(t, config)
+	p.waitForLog("worker pool bound")
+	stop := make(chan struct{})
+	var flood sync.WaitGroup
+	defer flood.Wait()
+	defer close(stop)
+	for range 4 {
+		flood.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default: // an error means that the process has exited, which the test expects
+					_ = p.cmd.Process.Signal(syscall.SIGUSR1)
+					_ = p.cmd.Process.Signal(syscall.SIGHUP)
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond) // of flood, before the notice
+	p.signal(syscall.SIGTERM)
+	p.waitForExit(3200 * time.Millisecond)
+	p.waitForLog("notice to leave")
+}
+
 // A partly written configuration at SIGHUP changes nothing and is logged in one line; the
 // complete file changes both addresses.
 func TestHalfWrittenConfiguration(t *testing.T) {
