Stand-in proxy: an invalid resource is reported whatever resource follows it

apply's error of one resource was overwritten by the next one's, so that a response with an undecodable resource before a valid one was acknowledged, and its version counted as applied though it was not. Tests of the control service could not see such a resource.

Both forms of the protocol collect all errors and store versions only of what was applied.

--- a/internal/standin/proxy/proxy.go
+++ b/internal/standin/proxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -199,10 +200,7 @@
 		if r.TypeUrl == p.Faults.RejectedType {
 			a.VersionInfo, a.ErrorDetail = p.versions[r.TypeUrl], rejection()
 		} else {
-			p.versions[r.TypeUrl] = r.VersionInfo
-			for _, b := range r.Resources {
-				err = p.apply(b)
-			}
+			err = p.applyWorld(r)
 		}
 		p.mu.Unlock()
 		if err != nil {
@@ -255,13 +253,7 @@
 		if r.TypeUrl == p.Faults.RejectedType {
 			a.ErrorDetail = rejection()
 		} else {
-			for _, n := range r.RemovedResources {
-				delete(p.resourceVersions[r.TypeUrl], n)
-			}
-			for _, b := range r.Resources {
-				p.resourceVersions[r.TypeUrl][b.Name] = b.Version
-				err = p.apply(b.Resource)
-			}
+			err = p.applyChanges(r)
 		}
 		p.mu.Unlock()
 		if err != nil {
@@ -276,6 +268,38 @@
 	}
 }
 
+// applyWorld applies all resources of a response and stores its version, unless one of them is invalid. The lock must
+// be held.
+func (p *Proxy) applyWorld(r *discoveryv3.DiscoveryResponse) error {
+	var errs []error
+	for _, b := range r.Resources {
+		errs = append(errs, p.apply(b))
+	}
+	err := errors.Join(errs...)
+	if err == nil {
+		p.versions[r.TypeUrl] = r.VersionInfo
+	}
+	return err
+}
+
+// applyChanges applies the changed resources of a response and stores the versions of the valid ones. The lock must
+// be held.
+func (p *Proxy) applyChanges(r *discoveryv3.DeltaDiscoveryResponse) error {
+	versions := p.resourceVersions[r.TypeUrl]
+	for _, name := range r.RemovedResources {
+		delete(versions, name)
+	}
+	var errs []error
+	for _, b := range r.Resources {
+		err := p.apply(b.Resource)
+		if err == nil {
+			versions[b.Name] = b.Version
+		}
+		errs = append(errs, err)
+	}
+	return errors.Join(errs...)
+}
+
 // apply stores the endpoints of a ClusterLoadAssignment in place of the previous ones. Resources of other types
 // are only decoded. The lock must be held.
 func (p *Proxy) apply(b *anypb.Any) error {
