Rehearsals: the factor of a fault is checked against its range

squeeze = 1.5 slept for a negative time and slow = -1 ran work backwards, without a message. Both are now one error with file, line and key. The two new lines of TestScenarioFaults fail without the check; all shipped scenarios and those of the tests are within the ranges.

--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -227,10 +227,12 @@
 		"[flet]\n":                                      "f.ini:1: [flet]",
 		"[load]\nsteps = 0s 0.9, 1s":                    "f.ini:2: [load] steps: \"1s\" is not a time and a load",
 		"[fault.a]\nat = 1s\nwhat = kill\non = nodes:7": "f.ini:4: [fault.a] on: \"7\" is not one of the 6 nodes",
-		"[fault.a]\nat = 1s\nwhat = cut\nlink = nodes":  "f.ini:4: [fault.a] link: \"nodes\" is not a link",
+		"[fault.a]\nat = 1s\nwhat = squeeze\nfactor = 1.5\non = nodes:1":             "f.ini:4: [fault.a] factor: 1.5 is not between 0.05 and 1",
+		"[fault.a]\nat = 1s\nwhat = slow\nfactor = -1\non = nodes:1":                 "f.ini:4: [fault.a] factor: -1 is not between 0.1 and 1000",
+		"[fault.a]\nat = 1s\nwhat = cut\nlink = nodes":                               "f.ini:4: [fault.a] link: \"nodes\" is not a link",
 		"[fault.a]\nat = 1s\nfor=2s\ntimes=2\nevery=1s\nwhat = kill\non = nodes:1.0": "f.ini:5: [fault.a] every: 1s is too short",
-		"[fleet]\ntogether = told": "f.ini:2: [fleet] together: told requires control",
-		"[class.a]\nshare = 0.5":   "f.ini:2: [class.a] share: the classes' shares add up to 0.5",
+		"[fleet]\ntogether = told":                                                   "f.ini:2: [fleet] together: told requires control",
+		"[class.a]\nshare = 0.5":                                                     "f.ini:2: [class.a] share: the classes' shares add up to 0.5",
 	} {
 		if _, err := Parse("f.ini", []byte(text)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%q: %v\nwanted %s", text, err, want)
--- a/internal/standin/fleet/scenario.go
+++ b/internal/standin/fleet/scenario.go
@@ -103,7 +103,7 @@
 	Jitter         time.Duration `ini:"jitter"`
 	BytesPerSecond int           `ini:"rate"`   // of throttle
 	StopAfter      int           `ini:"after"`  // bytes, of mid_message
-	Factor         float64       `ini:"factor"` // of slow, probe and squeeze (share of the time to run)
+	Factor         float64       `ini:"factor"` // of slow, probe and squeeze (share of the time to run), see validateFactor
 
 	// The results that a restarted node finds: keep, empty, old (a copy from the start of the rehearsal),
 	// half (of its files) or swap (its neighbour's).
--- a/internal/standin/fleet/validate.go
+++ b/internal/standin/fleet/validate.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// validateFault checks a fault and sets the default of its factor.
+// validateFault checks a fault.
 func (s *Scenario) validateFault(
 	f *FaultSection, inRange func(string, string, float64, float64, float64),
 	oneOf func(string, string, string, ...string), fault func(string, string, string, ...any),
@@ -122,9 +122,7 @@
 	if f.Count > 1 && f.Interval <= f.Duration {
 		fault(section, "every", "%s is too short: it must be longer than for = %s", f.Interval, f.Duration)
 	}
-	if f.Factor == 0 {
-		f.Factor = map[string]float64{"slow": 3, "squeeze": 0.3, "probe": 10}[f.Kind]
-	}
+	s.validateFactor(f, inRange)
 	switch {
 	case slices.Contains(processFaults, f.Kind):
 		if _, err := s.selectMembers(f.Targets, "nodes", "control"); err != nil {
@@ -137,6 +135,22 @@
 	}
 }
 
+// validateFactor checks the factor of a fault that has one, and sets its default.
+func (s *Scenario) validateFactor(f *FaultSection, inRange func(string, string, float64, float64, float64)) {
+	limits, ok := map[string]struct{ standard, least, most float64 }{
+		"slow":    {3, 0.1, 1000},
+		"squeeze": {0.3, 0.05, 1}, // share of the time to run
+		"probe":   {10, 0.1, 100},
+	}[f.Kind]
+	if !ok {
+		return
+	}
+	if f.Factor == 0 {
+		f.Factor = limits.standard
+	}
+	inRange("fault."+f.Name, "factor", f.Factor, limits.least, limits.most)
+}
+
 // memberSet is a subset of the members of a group.
 type memberSet struct {
 	group   string
