An error of the INI file is one line, whatever characters the file has

A key with an open quote at a line end gave an error of two lines, as the INI library's message has the line with its end; the second was an empty line in the log and in robinmastctl's output. Found by FuzzParse, which once said that it checks this and did not: its new seed fails without the change.

An error has a space where the file has a control character.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/agnivade/levenshtein"
 	"gopkg.in/ini.v1"
@@ -105,7 +106,7 @@
 	Message string // what is wrong
 }
 
-// Error returns one line, FILE:LINE: [section] key: what is wrong.
+// Error returns one line, FILE:LINE: [section] key: what is wrong. A control character of the file is a space in it.
 func (f Fault) Error() string {
 	s := f.File + ":"
 	if f.Line > 0 {
@@ -117,7 +118,15 @@
 	if f.Key != "" {
 		s += " " + f.Key + ":"
 	}
-	return s + " " + f.Message
+	return strings.TrimSpace(strings.Map(printable, s+" "+f.Message))
+}
+
+// printable returns a space for a control character, such as a line end, and any other character as it is.
+func printable(r rune) rune {
+	if unicode.IsControl(r) {
+		return ' '
+	}
+	return r
 }
 
 // Defaults returns the configuration that holds without a file: every feature is off.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode"
 )
 
 // The shipped file equals the text generated from the table, and reading it gives the
@@ -100,16 +101,18 @@
 	}
 }
 
-// Any bytes are parsed without a panic, and no fault is empty.
+// Guards against a panic, and against a fault that an operator sees cut at a line end: any bytes are parsed, and each
+// fault is one line.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(DefaultText()))
 	f.Add([]byte("[log]\nlevel=\"\"\"x\ny\"\"\"\n"))
 	f.Add([]byte("[results]\nbytes=1\\\n2MB\n"))
+	f.Add([]byte("\"\n")) // the library's error names the line with its end
 	f.Fuzz(func(t *testing.T, text []byte) {
 		_, faults := Parse("x.ini", text)
 		for _, fault := range faults {
-			if fault.Error() == "" {
-				t.Error("an empty fault")
+			if line := fault.Error(); line == "" || strings.ContainsFunc(line, unicode.IsControl) {
+				t.Errorf("%q is not one line", line)
 			}
 		}
 	})
