--- a/internal/node/resultcache_test.go
+++ b/internal/node/resultcache_test.go
@@ -378,6 +378,29 @@
 	}
 }
 
+// Guards against more records than the module's memory allows: the record of a result that is only on the disk counts
+// before and after it is read from there, in its own incarnation and the next.
+func TestResultsOnDiskCountAgainstMemory(t *testing.T) {
+	large := func(_ *config.Results, set *rules.Settings) { set.RecordKB = 0.3 * set.MemoryKB }
+	disk := vfs.NewMem(false)
+	body := strings.Repeat("x", 2000) // more than ResultBytes
+	a := startIncarnation(t, disk, 1000, time.Hour, large)
+	x := a.send(1, withKey("k"))
+	a.eventually("the run", func() bool { return a.hasRun(x) })
+	a.RunEnded(x, pool.Complete, time.Millisecond, []byte(body))
+	a.eventually("the answer", func() bool { return a.hasAnswer(x) })
+	b := startIncarnation(t, disk.Clone(), 1010, time.Hour, large)
+	for _, incarnation := range []*incarnation{a, b} {
+		other := incarnation.send(1, withKey("other"))
+		incarnation.wantAnswer(other, exchange.Refused, "")
+		repeat := incarnation.send(1, withKey("k"))
+		incarnation.eventually("the answer", func() bool { return incarnation.hasAnswer(repeat) })
+		incarnation.wantAnswer(repeat, exchange.Served, body)
+		other = incarnation.send(1, withKey("other"))
+		incarnation.wantAnswer(other, exchange.Refused, "")
+	}
+}
+
 // Restored records count against the module's memory for records, also in a module that
 // replaces another.
 func TestRestoredRecordsCountAgainstMemory(t *testing.T) {
--- a/internal/scgi/scgi_test.go
+++ b/internal/scgi/scgi_test.go
@@ -121,11 +121,12 @@
 	}
 }
 
-// Whatever the bytes, nothing beyond the limits is accepted, and bytes after the headers do not change the
-// result.
+// Whatever the bytes, nothing beyond the limits is accepted, bytes after the headers do not change the result, and
+// what is accepted is encoded again to as many bytes of the same headers, with SCGI as the second.
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte(vector))
 	f.Add([]byte("0:,"))
+	f.Add([]byte("28:CONTENT_LENGTH\x000\x00A\x00b\x00SCGI\x001\x00,"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r, n, err := ParseRequest(b, limits)
 		if err != nil {
@@ -138,6 +139,16 @@
 		if err != nil || m != n || !slices.Equal(again.Headers, r.Headers) {
 			t.Fatalf("with more bytes %+v, %d, %v", again, m, err)
 		}
+		isVersion := func(h Header) bool { return h.Name == "SCGI" }
+		others := slices.DeleteFunc(slices.Clone(r.Headers[1:]), isVersion)
+		encoded, err := AppendRequest(nil, others, r.Length)
+		if err != nil || len(encoded) != n {
+			t.Fatalf("%q is encoded again as %q, %v", b[:n], encoded, err)
+		}
+		again, _, err = ParseRequest(encoded, limits)
+		if err != nil || again.Length != r.Length || !isVersion(again.Headers[1]) || !slices.Equal(again.Headers[2:], others) {
+			t.Fatalf("%q encoded again is %+v, %v", b[:n], again, err)
+		}
 	})
 }
 
