control: say what the follows of GET /fleet compares

It was listed as a suspected fault that follows says "the cut" for any threshold above 0. The values cannot be compared: they change with each digest and a node reports the one before. The comment says so; no code is changed.

--- a/internal/control/http.go
+++ b/internal/control/http.go
@@ -99,9 +99,10 @@
 	Limit    float64 `json:"limit"`
 	Penalty  float64 `json:"penalty"`
 	Unproven bool    `json:"unproven,omitempty"`
-	// Follows tells whether the node applies the fleet's shedding threshold: "the cut" (yes), "an
-	// older cut" (that of an older digest), "hears no digest", or "alone" (it asks for no digest).
-	// It is empty for a node without fleet-aware load shedding.
+	// Follows tells whether the node applies the fleet's shedding threshold: "the cut" (yes, or none as
+	// the fleet), "an older cut" (it applies one and the fleet has none, or the reverse), "hears no
+	// digest", or "alone" (it asks for no digest). The values are not compared: they change with each
+	// digest, and a node reports the one before. It is empty for a node without fleet-aware load shedding.
 	Follows string `json:"follows,omitempty"`
 }
 
