store: reading a checkpoint is a file of its own, one short function a step

readCheckpoint had 101 lines and four results: it read blocks, the header and the entries and compared the header with the segments. Each is a function of its own now; the kinds of blocks and the size of their header have names. No behaviour is changed; the tests of the store pass.

--- a/internal/store/checkpoint.go
+++ b/internal/store/checkpoint.go
@@ -1,12 +1,10 @@
 package store
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
-	"io"
 	"io/fs"
 	"strconv"
 	"strings"
@@ -20,6 +18,14 @@
 	checkpointMagic     = "RMSTCKP\n"
 	checkpointSuffix    = ".ckpt"
 	checkpointBlockSize = 64 << 10 // bytes of entries after which a block is written
+	blockHeaderSize     = 9        // bytes: the kind, the size and the checksum of a block's body
+)
+
+// Kinds of blocks of a checkpoint file.
+const (
+	headerBlock byte = 'H' // the version, the sequence number and the coverage of each segment
+	itemBlock   byte = 'B' // entries of the index
+	endBlock    byte = 'E' // the number of entries
 )
 
 // checkpointName returns the name of the checkpoint file with this number.
@@ -120,7 +126,7 @@
 	}
 	off := int64(0)
 	block := func(kind byte, body []byte) error {
-		b := make([]byte, 0, 9+len(body))
+		b := make([]byte, 0, blockHeaderSize+len(body))
 		b = append(b, kind)
 		b = binary.LittleEndian.AppendUint32(b, uint32(len(body)))
 		b = binary.LittleEndian.AppendUint32(b, crc32.Checksum(body, castagnoli))
@@ -142,7 +148,7 @@
 			head = binary.AppendUvarint(head, v)
 		}
 	}
-	err = block('H', head)
+	err = block(headerBlock, head)
 	var body []byte
 	count := uint64(0)
 	snapshot.Ascend(func(it item) bool {
@@ -158,16 +164,16 @@
 		}
 		count++
 		if len(body) > checkpointBlockSize {
-			err = block('B', body)
+			err = block(itemBlock, body)
 			body = body[:0]
 		}
 		return true
 	})
 	if err == nil && len(body) > 0 {
-		err = block('B', body)
+		err = block(itemBlock, body)
 	}
 	if err == nil {
-		err = block('E', binary.AppendUvarint(nil, count))
+		err = block(endBlock, binary.AppendUvarint(nil, count))
 	}
 	if err == nil {
 		err = f.Sync()
@@ -191,7 +197,7 @@
 			continue
 		}
 		s.checkpointID = max(s.checkpointID, id)
-		index, covered, seq, err := s.readCheckpoint(names[i], all, ends)
+		loaded, err := s.readCheckpoint(names[i], all, ends)
 		var version *VersionError
 		if errors.As(err, &version) {
 			return nil, version
@@ -199,157 +205,12 @@
 		if err != nil {
 			continue // an older checkpoint or the log is used
 		}
-		s.index, s.seq = index, seq
+		s.index, s.seq = loaded.index, loaded.seq
 		if f, err := s.fs.Open(vfs.Join(s.dir, names[i]), false); err == nil {
 			s.checkpointBytes, _ = f.Size()
 			_ = f.Close()
 		}
-		return covered, nil
+		return loaded.covered, nil
 	}
 	return nil, nil
 }
-
-// readCheckpoint reads and verifies a checkpoint file. It returns the index, the covered
-// size of each segment in all, and the sequence number.
-func (s *Store) readCheckpoint(
-	name string, all []segmentFile, ends map[uint64]int64,
-) (*btree.BTreeG[item], map[uint64]int64, uint64, error) {
-	f, err := s.fs.Open(vfs.Join(s.dir, name), false)
-	if err != nil {
-		return nil, nil, 0, err
-	}
-	defer f.Close()
-	size, err := f.Size()
-	if err != nil {
-		return nil, nil, 0, err
-	}
-	in := io.NewSectionReader(f, 0, size)
-	next := func() (byte, []byte, error) {
-		var h [9]byte
-		if _, err := io.ReadFull(in, h[:]); err != nil {
-			return 0, nil, err
-		}
-		n := binary.LittleEndian.Uint32(h[1:])
-		if int64(n) > size {
-			return 0, nil, errTruncated
-		}
-		b := make([]byte, n)
-		if _, err := io.ReadFull(in, b); err != nil {
-			return 0, nil, err
-		}
-		if crc32.Checksum(b, castagnoli) != binary.LittleEndian.Uint32(h[5:]) {
-			return 0, nil, errors.New("checksum differs")
-		}
-		return h[0], b, nil
-	}
-	kind, b, err := next()
-	if err != nil {
-		return nil, nil, 0, err
-	}
-	if kind != 'H' || !bytes.HasPrefix(b, []byte(checkpointMagic)) {
-		return nil, nil, 0, errors.New("no checkpoint")
-	}
-	r := &checkpointDecoder{b: b[len(checkpointMagic):]}
-	if v := r.uvarint(); v != Version {
-		return nil, nil, 0, &VersionError{File: name, Version: uint32(v)}
-	}
-	seq, n := r.uvarint(), r.uvarint()
-	covered := map[uint64]int64{}
-	recorded := map[uint64]segmentCoverage{}
-	for range min(n, uint64(len(b))) {
-		c := segmentCoverage{
-			id: r.uvarint(), salt: r.uvarint(), end: int64(r.uvarint()), minSeq: r.uvarint(), sealed: r.uvarint() == 1,
-		}
-		recorded[c.id] = c
-	}
-	if r.truncated {
-		return nil, nil, 0, errTruncated
-	}
-	for _, f := range all {
-		c, ok := recorded[f.id]
-		if !ok {
-			continue
-		}
-		if c.salt == f.salt && ends != nil {
-			ends[f.id] = max(ends[f.id], c.end)
-		}
-		if c.salt != f.salt || f.size < c.end || !f.headerOK {
-			return nil, nil, 0, fmt.Errorf("segment %s does not match the checkpoint", f.name)
-		}
-		f.minSeq = c.minSeq
-		covered[f.id] = c.end
-		if c.sealed { // bytes after its end are not valid
-			covered[f.id] = f.size
-		}
-	}
-	index := btree.NewG(treeDegree, func(a, b item) bool { return a.key < b.key })
-	count := uint64(0)
-	for {
-		kind, b, err := next()
-		if err != nil {
-			return nil, nil, 0, err
-		}
-		r := &checkpointDecoder{b: b}
-		if kind == 'E' {
-			if r.uvarint() != count {
-				return nil, nil, 0, errTruncated
-			}
-			return index, covered, clampSeq(seq), nil
-		}
-		for len(r.b) > 0 && !r.truncated {
-			it := item{
-				key: r.str(), expiry: r.varint(), seq: r.uvarint(), segmentID: uint32(r.uvarint()),
-				offset: uint32(r.uvarint()), meta: uint32(r.uvarint()), staleRecords: uint32(r.uvarint()),
-			}
-			count++
-			// A segment that is not covered was removed by compaction, which copied its live records.
-			if _, there := covered[uint64(it.segmentID)]; there {
-				index.ReplaceOrInsert(it)
-			}
-		}
-		if r.truncated {
-			return nil, nil, 0, errTruncated
-		}
-	}
-}
-
-// checkpointDecoder decodes numbers and strings; truncated is set when the bytes end too
-// early or a number is malformed.
-type checkpointDecoder struct {
-	b         []byte
-	truncated bool
-}
-
-// uvarint decodes an unsigned number, 0 if truncated.
-func (r *checkpointDecoder) uvarint() uint64 {
-	v, n := binary.Uvarint(r.b)
-	if n <= 0 {
-		r.b, r.truncated = nil, true
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-// varint decodes a signed number, 0 if truncated.
-func (r *checkpointDecoder) varint() int64 {
-	v, n := binary.Varint(r.b)
-	if n <= 0 {
-		r.b, r.truncated = nil, true
-		return 0
-	}
-	r.b = r.b[n:]
-	return v
-}
-
-// str decodes a string that follows its length, "" if truncated.
-func (r *checkpointDecoder) str() string {
-	n := r.uvarint()
-	if n > uint64(len(r.b)) {
-		r.b, r.truncated = nil, true
-		return ""
-	}
-	t := string(r.b[:n])
-	r.b = r.b[n:]
-	return t
-}
--- a/internal/store/verify.go
+++ b/internal/store/verify.go
@@ -50,7 +50,7 @@
 		report.Faults = append(report.Faults, faults...)
 	}
 	for _, name := range checkpoints {
-		if _, _, _, err := s.readCheckpoint(name, nil, nil); err != nil {
+		if _, err := s.readCheckpoint(name, nil, nil); err != nil {
 			report.Faults = append(report.Faults, Fault{
 				File: name, Reason: "checkpoint: " + err.Error() + " (the log is read instead)",
 			})
