stream: a closing connection no longer waits for its reader's own deadline

A node that exits, or moves its link to another pool address, could keep the old connection for up to 15 s instead of 100 ms, and then exited at the last moment, with "a component of the node did not stop in time". One run of the pool's tests had taken 80 s instead of 20 for it.

Cause: a closed connection sends FIN and discards input until a short deadline. The link's reader sets its own deadline before each line on the same descriptor; if it came in between, it replaced that of the linger phase.

Evidence: TestLinkReplaced/half a line took 61 s, though all its waits but the reader's minute are 8 s or less, and passed. TestReaderDeadlineDoesNotProlongLinger fails before.

Change: Conn.SetReadDeadline does nothing once the connection is closed, under the lock that sets the close reason. The tests of the link fail if it does not end within 10 s of its context's end.

--- a/internal/pool/stub_test.go
+++ b/internal/pool/stub_test.go
@@ -102,7 +102,11 @@
 	w := &stubPool{t: t, ln: ln}
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		select {
+		case <-done:
+		case <-time.After(10 * time.Second):
+			t.Error("the link does not end with its context")
+		}
 		if w.c != nil {
 			w.c.Close()
 		}
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -90,6 +90,17 @@
 	c.mu.Unlock()
 }
 
+// SetReadDeadline sets the deadline of Read. Once the connection is closed it does nothing: the deadline belongs to
+// closeDescriptor then, and Read fails without waiting.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeReason != StillOpen {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // HasSent reports whether any message was ever queued to be sent.
 func (c *Conn) HasSent() bool {
 	c.mu.Lock()
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -426,3 +426,26 @@
 		})
 	}
 }
+
+// Guards against a process that does not exit, or a descriptor that stays open, for as long as the reader's own
+// deadline: one that the reader sets while the connection closes must not replace that of the linger phase.
+func TestReaderDeadlineDoesNotProlongLinger(t *testing.T) {
+	limits := defaultLimits
+	limits.Linger = 200 * time.Millisecond
+	c, peer := pair(t, limits, &Traffic{}, nil)
+	c.Abort(ClosedLocally)
+	if _, err := peer.Read(make([]byte, 1)); !errors.Is(err, io.EOF) { // the linger phase begins, as the peer stays open
+		t.Fatal(err)
+	}
+	for range 100 {
+		if err := c.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	select {
+	case <-c.WhenClosed():
+	case <-time.After(5 * time.Second):
+		t.Error("the descriptor is still open")
+	}
+}
