--- a/internal/standin/fleet/stall_test.go
+++ b/internal/standin/fleet/stall_test.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	// longestHarmlessStall is below the shortest stall, of 0.45 s, that made requests fail in the scenarios of these tests.
-	longestHarmlessStall = 300 * time.Millisecond
-	maxPlays             = 3 // of one scenario
+	longestHarmlessStall = 300 * time.Millisecond // of a play that counts
+	maxPlays             = 3                      // of one scenario
 )
 
 // runUndisturbed executes a scenario as run does, and again while the machine stalled the play for longer than
