--- a/review/6/main.go
+++ b/review/6/main.go
@@ -25,18 +25,6 @@
 	killAfter   = 7500 * time.Millisecond
 )
 
-// config is the platform's configuration of the node.
-const config = `{"name":"n3","listen":"LISTEN","pool":"POOL","members":"MEMBERS",
- "seed":"8c1f30d27a5be964","stop_ms":3200,"limits":{"cores":1.0,"memory_mb":96,"sockets":512},"settings":{"tickMs":2,"groupSize":1,
- "clientHabits":{"marksRetry":true},
- "lanes":[{"name":"read","aimMs":1000,"deadlineMs":4000,"effect":"idempotent","worth":1},
-  {"name":"pay","aimMs":1000,"deadlineMs":4000,"effect":"deduplicated","windowMs":5000,"worth":2}],
- "parties":[{"name":"acme","share":1,"quotaRps":10}],
- "extra":{"cpus":2,"ramKb":100000,"runFactor":4,"entryKb":1,"meters":["cpu_busy","runnable"],"passesDeadline":true,
-  "tellsGone":true,"preemption":"drop","say":"weight","keepaliveMaxMs":30000,"upstreams":1,"heededMs":1000,"below":"none"},
- "bounds":{"retryAfter":true,"maxRetryAfterMs":1000},
- "obligations":{"fallMultiple":8,"rampTimeMs":9000,"fallMs":1500,"stopSendingWithinMs":200,"answerSlackMs":60}}}`
-
 // run is a run that the worker pool started.
 type run struct {
 	at  time.Time
@@ -86,7 +74,7 @@
 		workers, err := platform.StartPool(2, 0, work.work)
 		c.Must(err)
 		path := c.WriteFile(fmt.Sprintf("config%d.json", incarnation),
-			strings.NewReplacer("LISTEN", listen, "POOL", workers.Addr(), "MEMBERS", members.Addr()).Replace(config))
+			strings.NewReplacer("LISTEN", listen, "POOL", workers.Addr(), "MEMBERS", members.Addr()).Replace(harness.KeyedConfig))
 		node := c.Start(fmt.Sprintf("node-%d", incarnation), c.DeployCommand("run")+" run --config "+ini, "EDGE_CONFIG="+path)
 		c.Eventually("the node has its worker pool", 10*time.Second, func() bool {
 			return strings.Contains(node.Log(), "worker pool bound")
