Result cache: a run's end, withdrawal or start leaves the record of a later run

Cause: the cache found records by their key alone. The late end of a run whose window was over deleted the record that a later request under its key had stored by then. The same held for withdrawals of runs that never started, ends of runs of an earlier incarnation, requests that start after a later one under their key, and results read from the disk.

Evidence: the second start logs kept=0 and nothing dropped, so the record was deleted before.

Change: a record belongs to a run, by the run's name; of two runs under a key the one that arrived later has the record. What another run does changes nothing and is counted as results.superseded. A result is read together with its record. The store's format is unchanged; Record.Arrived held when the run was started and is called so now.

--- a/decide/resultcache/module.go
+++ b/decide/resultcache/module.go
@@ -68,8 +68,8 @@
 	RequestKey
 	Kind    Kind
 	Effect  rules.Effect // the effect that the class had then
-	Run     string       // name of the run at the worker pool
-	Arrived int64        // when the request reached the machine
+	Run     string       // name of the run at the worker pool, new with every try of a request
+	Started int64        // when the node started the run
 	Window  int64        // Keyed: the window that the class had then, milliseconds
 	Expires int64
 	Size    int64 // of the result, bytes
@@ -77,6 +77,20 @@
 	BodyHash uint64 // Keyed: of the request's body, 0 = not known
 }
 
+// newerThan reports whether r is the record of another run under the key of run, and of a later one. Two runs of a
+// keyed request have records under one key only if the later one arrived after the window of the earlier one, which may
+// still be in progress, or not be started, by then. For reads the run that started last counts.
+func (r *Record) newerThan(run *Record) bool {
+	switch {
+	case r.Run == run.Run:
+		return false
+	case r.Effect == rules.Keyed:
+		return r.Expires > run.Expires
+	default:
+		return r.Started > run.Started
+	}
+}
+
 // recordOverhead is what a record takes besides its names and its result, in bytes.
 const recordOverhead = 128
 
@@ -163,23 +177,40 @@
 	}
 }
 
-// RecordIntent records that a request is about to run. ok is false if the bounds leave no room:
-// the request would run without a record. changes holds what is evicted for it.
-func (m *Module) RecordIntent(now time.Duration, record Record) (ok bool, changes StoreChanges) {
+// IntentDecision is what becomes of the intent of a request.
+type IntentDecision uint8
+
+// The values of IntentDecision.
+const (
+	StoreIntent      IntentDecision = iota // it must be stored before the run
+	IntentSuperseded                       // a later request has the record of its key: it runs without one
+	IntentNoRoom                           // the bounds leave no room: it would run without a record
+)
+
+// RecordIntent records that a request is about to run. changes holds what is evicted for it.
+func (m *Module) RecordIntent(now time.Duration, record Record) (decision IntentDecision, changes StoreChanges) {
 	record.Kind, record.Size = Intent, 0
 	key := record.Text()
-	if previous := m.records[key]; previous != nil {
+	previous := m.records[key]
+	if previous != nil {
+		if previous.newerThan(&record) {
+			return IntentSuperseded, StoreChanges{Superseded: true}
+		}
 		m.remove(previous)
 	}
 	if !m.makeRoom(now, &record, &changes) {
-		return false, changes
+		if previous != nil {
+			changes.Delete = append(changes.Delete, key)
+		}
+		return IntentNoRoom, changes
 	}
 	m.add(key, record)
-	return true, changes
+	return StoreIntent, changes
 }
 
 // RunEnded records how a run ended: with a result of size bytes, or failed. It returns the record,
-// whether it must be stored, and the other changes to the store.
+// whether it must be stored, and the other changes to the store. If a later run has the record of the
+// key, that record stays as it is.
 func (m *Module) RunEnded(
 	now time.Duration, record Record, succeeded bool, size int64,
 ) (Record, bool, StoreChanges) {
@@ -187,6 +218,9 @@
 	key := record.Text()
 	previous := m.records[key]
 	if previous != nil {
+		if previous.newerThan(&record) {
+			return record, false, StoreChanges{Superseded: true}
+		}
 		m.remove(previous)
 	}
 	record.Kind, record.Size = Failed, 0
@@ -229,10 +263,10 @@
 	return record, true, changes
 }
 
-// Withdraw removes the intent of a request that never started.
-func (m *Module) Withdraw(request RequestKey) (changes StoreChanges) {
+// Withdraw removes the intent of a run that never started. The record of another run under its key stays.
+func (m *Module) Withdraw(request RequestKey, run string) (changes StoreChanges) {
 	key := request.Text()
-	if record := m.records[key]; record != nil && record.Kind == Intent {
+	if record := m.records[key]; record != nil && record.Kind == Intent && record.Run == run {
 		m.remove(record)
 		changes.Delete = append(changes.Delete, key)
 	}
@@ -243,6 +277,7 @@
 type StoreChanges struct {
 	Delete      []string // keys of records to delete
 	EvictResult []Record // records whose results are evicted, to be stored as given here
+	Superseded  bool     // nothing changes, since a later run has the record of the key
 }
 
 // makeRoom evicts records and results until record fits within the bounds, and reports whether it does. It evicts records of reads first, the next
@@ -380,7 +415,7 @@
 		if record.Effect == rules.Safe && !m.settings.FailUnknownReads {
 			return RunAgain
 		}
-		if poolSince <= record.Arrived {
+		if poolSince <= record.Started {
 			return WaitForRun
 		}
 	}
--- a/decide/resultcache/module_test.go
+++ b/decide/resultcache/module_test.go
@@ -34,13 +34,13 @@
 func keyedRecord(name string, arrived int64) Record {
 	return Record{
 		RequestKey: RequestKey{"pay", "acme", name}, Effect: rules.Keyed, Run: "r" + name,
-		Arrived: arrived, Window: 5000, Expires: arrived + 5000,
+		Started: arrived, Window: 5000, Expires: arrived + 5000,
 	}
 }
 
 // readRecord returns a record of a read that arrived at the given time.
 func readRecord(name string, arrived int64) Record {
-	return Record{RequestKey: RequestKey{"read", "acme", name}, Effect: rules.Safe, Arrived: arrived, Expires: arrived + 1000}
+	return Record{RequestKey: RequestKey{"read", "acme", name}, Effect: rules.Safe, Started: arrived, Expires: arrived + 1000}
 }
 
 // Different keys have different texts, even if their parts contain separators or escapes.
@@ -155,11 +155,11 @@
 	if len(changes.Delete) != 0 || len(changes.EvictResult) != 1 || changes.EvictResult[0].Name != "d" || changes.EvictResult[0].Kind != ResultEvicted {
 		t.Errorf("the result that expires first is not evicted: %+v", changes)
 	}
-	if ok, _ := m.RecordIntent(0, keyedRecord("f", 40)); ok {
+	if decision, _ := m.RecordIntent(0, keyedRecord("f", 40)); decision != IntentNoRoom {
 		t.Error("an intent is recorded beyond the bound, with all records in their windows")
 	}
-	if ok, changes := m.RecordIntent(5006*ms, keyedRecord("f", 40)); !ok || len(changes.Delete) != 1 || changes.Delete[0] != "pay/acme/d" {
-		t.Errorf("the expired record is not removed: %v, %+v", ok, changes)
+	if decision, changes := m.RecordIntent(5006*ms, keyedRecord("f", 40)); decision != StoreIntent || len(changes.Delete) != 1 || changes.Delete[0] != "pay/acme/d" {
+		t.Errorf("the expired record is not removed: %v, %+v", decision, changes)
 	}
 	if record, mustStore, _ := m.RunEnded(5006*ms, keyedRecord("f", 40), true, 1e6); !mustStore || record.Kind != ResultEvicted {
 		t.Errorf("a result is stored beyond the bound: %v, %+v", mustStore, record)
@@ -181,10 +181,10 @@
 		t.Errorf("the freshness of a read does not count from its end: %v, %d", mustStore, record.Expires)
 	}
 	m.RecordIntent(0, keyedRecord("b", 0))
-	if changes := m.Withdraw(RequestKey{"pay", "acme", "b"}); len(changes.Delete) != 1 || m.Len() != 2 {
+	if changes := m.Withdraw(RequestKey{"pay", "acme", "b"}, "rb"); len(changes.Delete) != 1 || m.Len() != 2 {
 		t.Errorf("withdrawn: %+v, %d left", changes, m.Len())
 	}
-	if changes := m.Withdraw(RequestKey{"pay", "acme", "a"}); len(changes.Delete) != 0 {
+	if changes := m.Withdraw(RequestKey{"pay", "acme", "a"}, "ra"); len(changes.Delete) != 0 {
 		t.Error("the end of a run was withdrawn")
 	}
 	m.RecordIntent(0, keyedRecord("c", 0))
@@ -227,9 +227,9 @@
 			switch rapid.IntRange(0, 6).Draw(r, "what") {
 			case 0, 1:
 				record := keyedRecord(name, m.Unix(now))
-				ok, changes := m.RecordIntent(now, record)
+				decision, changes := m.RecordIntent(now, record)
 				apply(changes)
-				if ok {
+				if decision == StoreIntent {
 					record.Kind = Intent
 					stored[record.Text()], made[record.Text()] = record, trueTime
 				}
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -22,7 +22,7 @@
 	if req := h.requests[id]; req != nil && !req.running {
 		n := h.Node
 		n.running++
-		req.running, req.runsAtStart = true, n.running
+		req.running, req.runsAtStart, req.startedAt = true, n.running, n.now
 		if h.isPoolUp {
 			h.startRun(req)
 		}
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -27,9 +27,10 @@
 	ended        bool // its run has ended
 	succeeded    bool // with a result
 	neverStarted bool // no try of the request has run
-	stored       bool // the result can be fetched from the result cache, under storeKey
+	stored       bool // the result can be fetched from the result cache, by storeKey and storeRun
 	failRepeats  bool // of a previous incarnation: a repeat must not run, even if it is safe
 	storeKey     string
+	storeRun     string        // the run that made the result
 	waitUntil    time.Duration // when to stop waiting for the end of a previous incarnation's run, 0 = not waiting
 	result       []byte        // held in memory, nil = not held
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -18,8 +18,9 @@
 	joined  bool    // waits for the result of the earlier request that it repeats
 	record  *record // the idempotency record that it holds
 
-	waitsFor    *record // the record whose run it waits for, nil = none
-	runsAtStart int     // runs in progress when its run started, this one included
+	waitsFor    *record       // the record whose run it waits for, nil = none
+	runsAtStart int           // runs in progress when its run started, this one included
+	startedAt   time.Duration // when its run was started last
 
 	statement  []byte // of the downstream call that its run needs
 	callNumber uint64 // the number of the call in flight, 0 = none
@@ -129,7 +130,7 @@
 	req.joined = false
 	req.cancelOpenCall()
 	if req.record != nil && e.stored {
-		req.record.stored, req.record.storeKey = true, req.record.key[1:]
+		req.record.stored, req.record.storeKey, req.record.storeRun = true, req.record.key[1:], req.x.Txn
 	}
 	switch e.outcome {
 	case pool.Complete:
--- a/internal/node/resultcache.go
+++ b/internal/node/resultcache.go
@@ -21,14 +21,13 @@
 	ShouldRecord(x *exchange.Exchange) (record, intent bool)
 	// StoreIntent writes that the request is about to run; done is called once that is
 	// durable, or with the error.
-	StoreIntent(now time.Duration, x *exchange.Exchange, expires time.Duration, done func(error))
+	StoreIntent(now time.Duration, run cache.Run, done func(error))
 	// RunsUnrecorded reports whether a run whose intent failed with err starts all the same.
 	RunsUnrecorded(err error) bool
 	// RunEnded stores how a run ended; done, which may be nil, receives whether the result
 	// is stored.
-	RunEnded(now time.Duration, x *exchange.Exchange, expires time.Duration, succeeded bool, body []byte,
-		done func(stored bool))
-	// Withdraw removes the intent of a request that did not run.
+	RunEnded(now time.Duration, run cache.Run, succeeded bool, body []byte, done func(stored bool))
+	// Withdraw removes the intent of a run that never started.
 	Withdraw(x *exchange.Exchange)
 	// LateRunEnded stores how a run of a previous incarnation ended.
 	LateRunEnded(now time.Duration, r cache.RestoredRecord, succeeded bool, body []byte)
@@ -36,8 +35,8 @@
 	DecideRepeat(r cache.RestoredRecord, poolUpSince time.Duration) resultcache.RepeatAction
 	// CountRepeat counts a repeat of a restored request, answered with a result or failed.
 	CountRepeat(served bool)
-	// Fetch reads a stored result.
-	Fetch(key string, done func(body []byte, err error))
+	// Fetch reads the stored result of a run.
+	Fetch(key, run string, done func(body []byte, err error))
 	// Flush is called at the end of each batch, to write what it collected.
 	Flush(now time.Duration)
 	// Close writes what is left and closes the store.
@@ -93,7 +92,8 @@
 			}
 			continue
 		}
-		rec := &record{key: "u" + r.Key, bodyHash: r.Record.BodyHash, holder: r.id, expires: r.Expires, storeKey: r.Key}
+		rec := &record{key: "u" + r.Key, bodyHash: r.Record.BodyHash, holder: r.id, expires: r.Expires,
+			storeKey: r.Key, storeRun: r.Record.Run}
 		if r.Record.Effect == rules.Safe {
 			rec.key = "i" + r.Key
 		}
@@ -150,7 +150,7 @@
 	if n.cfg.ResultCache != nil {
 		if _, intent := n.cfg.ResultCache.ShouldRecord(req.x); intent {
 			req.intentGate.Store(gateWaiting)
-			n.cfg.ResultCache.StoreIntent(n.now, req.x, n.recordExpiry(req), func(err error) {
+			n.cfg.ResultCache.StoreIntent(n.now, n.cacheRun(req), func(err error) {
 				if err == nil && req.intentGate.CompareAndSwap(gateWaiting, gateOpen) {
 					n.pool.StartRun(req.x)
 					return
@@ -171,6 +171,11 @@
 	n.pool.StopRun(req.x)
 }
 
+// cacheRun describes the run of a request to the result cache.
+func (n *Node) cacheRun(req *openRequest) cache.Run {
+	return cache.Run{Exchange: req.x, Started: req.startedAt, Expires: n.recordExpiry(req)}
+}
+
 // recordExpiry returns until when repeats of the request may arrive.
 func (n *Node) recordExpiry(req *openRequest) time.Duration {
 	if req.record != nil {
@@ -214,7 +219,7 @@
 	hasRun := e.outcome == pool.Error || e.outcome == pool.Cancelled && !req.x.Safe
 	switch {
 	case e.outcome == pool.Complete:
-		n.cfg.ResultCache.RunEnded(n.now, req.x, n.recordExpiry(req), true, e.body, func(hasResult bool) {
+		n.cfg.ResultCache.RunEnded(n.now, n.cacheRun(req), true, e.body, func(hasResult bool) {
 			followUp := e
 			followUp.recorded, followUp.stored, followUp.answered = true, hasResult, true
 			e.x.Answer(exchange.Answer{Kind: exchange.Served, Body: e.body})
@@ -222,7 +227,7 @@
 		})
 		return true
 	case hasRun:
-		n.cfg.ResultCache.RunEnded(n.now, req.x, n.recordExpiry(req), false, nil, nil)
+		n.cfg.ResultCache.RunEnded(n.now, n.cacheRun(req), false, nil, nil)
 	default:
 		n.cfg.ResultCache.Withdraw(req.x)
 	}
@@ -259,7 +264,7 @@
 // fetchResult serves a request from a result that is only on the disk.
 func (n *Node) fetchResult(req *openRequest, rec *record) {
 	x := req.x
-	n.cfg.ResultCache.Fetch(rec.storeKey, func(body []byte, err error) {
+	n.cfg.ResultCache.Fetch(rec.storeKey, rec.storeRun, func(body []byte, err error) {
 		outcome := pool.Complete
 		if err != nil {
 			outcome = pool.Error
--- a/internal/resultcache/cache.go
+++ b/internal/resultcache/cache.go
@@ -43,16 +43,17 @@
 
 // Counters are the counters of a Cache; any goroutine may read them.
 type Counters struct {
-	Intents  atomic.Int64 // runs that waited for an intent
-	Stored   atomic.Int64 // results stored
-	Restored atomic.Int64 // records restored at the start
-	Answered atomic.Int64 // repeats answered with the result of an earlier incarnation
-	Unknown  atomic.Int64 // repeats failed because the request ran, or may have run, and there is no result
-	LateEnds atomic.Int64 // runs of an earlier incarnation whose end the worker pool reported to this one
-	Expired  atomic.Int64 // records removed because they expired
-	Evicted  atomic.Int64 // records or results evicted for others
-	NoRoom   atomic.Int64 // requests for whose record there was no room
-	Failed   atomic.Int64 // writes that failed
+	Intents    atomic.Int64 // runs that waited for an intent
+	Stored     atomic.Int64 // results stored
+	Restored   atomic.Int64 // records restored at the start
+	Answered   atomic.Int64 // repeats answered with the result of an earlier incarnation
+	Unknown    atomic.Int64 // repeats failed because the request ran, or may have run, and there is no result
+	LateEnds   atomic.Int64 // runs of an earlier incarnation whose end the worker pool reported to this one
+	Expired    atomic.Int64 // records removed because they expired
+	Evicted    atomic.Int64 // records or results evicted for others
+	NoRoom     atomic.Int64 // requests for whose record there was no room
+	Superseded atomic.Int64 // runs that started, or ended, after a later run had taken over the record of their key
+	Failed     atomic.Int64 // writes that failed
 }
 
 // Config is the configuration of a Cache.
@@ -94,8 +95,8 @@
 
 // fetchRequest is a call of Fetch.
 type fetchRequest struct {
-	key  string
-	done func([]byte, error)
+	key, run string
+	done     func([]byte, error)
 }
 
 // Open opens the store of the cache. The records are not restored yet.
@@ -179,12 +180,20 @@
 	return c.module.ShouldRecord(c.cfg.Settings.Classes[x.Class].Effect, c.RequestKey(x).Name != "")
 }
 
-// record returns a record of x; expires is on the loop's clock.
-func (c *Cache) record(now time.Duration, x *exchange.Exchange, expires time.Duration) decide.Record {
+// Run is a run of a request, by the loop's clock.
+type Run struct {
+	Exchange *exchange.Exchange
+	Started  time.Duration // when the node started it
+	Expires  time.Duration // until when repeats of the request may arrive
+}
+
+// record returns a record of a run.
+func (c *Cache) record(run Run) decide.Record {
+	x := run.Exchange
 	class := c.cfg.Settings.Classes[x.Class]
 	record := decide.Record{
 		RequestKey: c.RequestKey(x), Effect: class.Effect, Run: x.Txn,
-		Arrived: c.module.Unix(now), Expires: c.module.Unix(expires),
+		Started: c.module.Unix(run.Started), Expires: c.module.Unix(run.Expires),
 	}
 	if class.Effect == rules.Keyed {
 		record.Window, record.BodyHash = class.IdempotencyWindow.Milliseconds(), x.BodyHash()
@@ -192,16 +201,20 @@
 	return record
 }
 
-// StoreIntent records that x is about to run. done is called once the record is as durable as
-// configured, or with the error; the run must wait for it. expires is on the loop's clock.
-func (c *Cache) StoreIntent(now time.Duration, x *exchange.Exchange, expires time.Duration, done func(error)) {
-	record := c.record(now, x, expires)
-	ok, changes := c.module.RecordIntent(now, record)
+// StoreIntent records that a run is about to start. done is called once the record is as durable as
+// configured, or with the error; the run must wait for it.
+func (c *Cache) StoreIntent(now time.Duration, run Run, done func(error)) {
+	record := c.record(run)
+	decision, changes := c.module.RecordIntent(now, record)
 	c.applyChanges(changes)
-	if !ok {
+	switch decision {
+	case decide.IntentNoRoom:
 		c.Counters.NoRoom.Add(1)
 		done(ErrNoRoom)
 		return
+	case decide.IntentSuperseded: // its window is over, so that nothing can repeat it
+		done(nil)
+		return
 	}
 	record.Kind = decide.Intent
 	c.Counters.Intents.Add(1)
@@ -210,12 +223,11 @@
 	c.notifyWhenWritten(done)
 }
 
-// RunEnded records the end of the run of x; body is its result if it succeeded. done, if not nil, is
+// RunEnded records the end of a run; body is its result if it succeeded. done, if not nil, is
 // called once the record is as durable as configured, or could not be stored; its argument reports
 // whether the result is stored.
-func (c *Cache) RunEnded(now time.Duration, x *exchange.Exchange, expires time.Duration, succeeded bool,
-	body []byte, done func(stored bool)) {
-	c.recordEnd(now, c.record(now, x, expires), succeeded, body, done)
+func (c *Cache) RunEnded(now time.Duration, run Run, succeeded bool, body []byte, done func(stored bool)) {
+	c.recordEnd(now, c.record(run), succeeded, body, done)
 }
 
 // LateRunEnded records the end of a run of an earlier incarnation.
@@ -245,9 +257,9 @@
 	}
 }
 
-// Withdraw removes the intent of a request that never started.
+// Withdraw removes the intent of the run of x, which never started.
 func (c *Cache) Withdraw(x *exchange.Exchange) {
-	c.deleteRecords(c.module.Withdraw(c.RequestKey(x)).Delete)
+	c.deleteRecords(c.module.Withdraw(c.RequestKey(x), x.Txn).Delete)
 }
 
 // DecideRepeat decides how a repeat of a request of an earlier incarnation is handled. poolStart is when
@@ -269,7 +281,7 @@
 func (c *Cache) put(record decide.Record) {
 	text, err := c.encoder.Marshal(storedRecord{
 		Kind: record.Kind, Effect: record.Effect, Class: record.Class, Tenant: record.Tenant, Name: record.Name, Run: record.Run,
-		Arrived: record.Arrived, Window: record.Window, Expires: record.Expires, Size: record.Size,
+		Started: record.Started, Window: record.Window, Expires: record.Expires, Size: record.Size,
 		BodyHash: record.BodyHash,
 	})
 	if err != nil { // the type can always be encoded
@@ -281,6 +293,9 @@
 // applyChanges adds the changes that follow from a decision to the batch.
 func (c *Cache) applyChanges(changes decide.StoreChanges) {
 	c.Counters.Evicted.Add(int64(len(changes.Delete) + len(changes.EvictResult)))
+	if changes.Superseded {
+		c.Counters.Superseded.Add(1)
+	}
 	c.deleteRecords(changes.Delete)
 	for _, record := range changes.EvictResult {
 		c.put(record)
@@ -357,11 +372,11 @@
 	return c.cfg.Results.RunUnrecorded
 }
 
-// Fetch reads a stored result. done is called by another goroutine, or at once with store.ErrBusy if
-// too many reads are pending.
-func (c *Cache) Fetch(key string, done func(body []byte, err error)) {
+// Fetch reads the stored result of a run. done is called by another goroutine, or at once with store.ErrBusy if
+// too many reads are pending. The error is store.ErrNotFound if a later run has the record of the key by then.
+func (c *Cache) Fetch(key, run string, done func(body []byte, err error)) {
 	select {
-	case c.fetches <- fetchRequest{key, done}:
+	case c.fetches <- fetchRequest{key, run, done}:
 	default:
 		done(nil, store.ErrBusy)
 	}
@@ -371,8 +386,29 @@
 func (c *Cache) fetcher() {
 	defer close(c.fetcherDone)
 	for f := range c.fetches {
-		f.done(c.store.Get(resultPrefix + f.key))
+		f.done(c.fetch(f.key, f.run))
+	}
+}
+
+// fetch reads the stored result of a run. The record is read after the result: the intent of a later run replaces the
+// record in the batch that deletes the result, so that a record of this run shows whose result it was.
+func (c *Cache) fetch(key, run string) ([]byte, error) {
+	body, err := c.store.Get(resultPrefix + key)
+	if err != nil {
+		return nil, err
+	}
+	text, err := c.store.Get(recordPrefix + key)
+	if err != nil {
+		return nil, err
+	}
+	var stored storedRecord
+	if err := cbor.Unmarshal(text, &stored); err != nil {
+		return nil, fmt.Errorf("record of a result: %w", err)
+	}
+	if stored.Run != run {
+		return nil, store.ErrNotFound
 	}
+	return body, nil
 }
 
 // Count returns the number of records.
--- a/internal/resultcache/restore.go
+++ b/internal/resultcache/restore.go
@@ -22,7 +22,7 @@
 	Tenant  string       `cbor:"4,keyasint"`
 	Name    string       `cbor:"5,keyasint"`
 	Run     string       `cbor:"6,keyasint"`
-	Arrived int64        `cbor:"7,keyasint"`
+	Started int64        `cbor:"7,keyasint"`
 	Window  int64        `cbor:"8,keyasint"`
 	Expires int64        `cbor:"9,keyasint"`
 	Size    int64        `cbor:"10,keyasint"`
@@ -153,7 +153,7 @@
 	return decide.Record{
 		RequestKey: decide.RequestKey{Class: s.Class, Tenant: s.Tenant, Name: s.Name},
 		Kind:       s.Kind, Effect: s.Effect, Run: s.Run,
-		Arrived: s.Arrived, Window: s.Window, Expires: s.Expires, Size: s.Size,
+		Started: s.Started, Window: s.Window, Expires: s.Expires, Size: s.Size,
 		BodyHash: s.BodyHash,
 	}
 }
