A request in doubt fails, instead of joining an expired record of its key

What callers saw: with [comeback] on, a keyed request that may have run in an earlier incarnation could be answered ACK with the result of an older request under its key, whose window was over. Found by reading; nobody reported it.

Cause: such a request is passed to the module as the repeat of an unknown one, and the node then looked the earlier request up by the key again, without asking whether it had expired.

Change: a request joins the record that was found at its arrival. Evidence: TestRequestInDoubtDoesNotJoinExpiredRecord failed before with the older result and passes now.

--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -107,7 +107,7 @@
 		return
 	}
 	req.joined = true
-	rec := h.records.byKey[recordKey(req.x, h.cfg.Settings)]
+	rec := req.earlier // not that of its key, which may have expired
 	switch {
 	case rec == nil:
 		h.endJoined(req, false, nil)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -76,20 +76,20 @@
 	return ""
 }
 
-// find returns the earlier request that x repeats, 0 for none. A record applies to
+// find returns the record of the earlier request that x repeats, nil for none. A record applies to
 // every request that reached the host before the record expired, however late it is
 // read. A keyed request with another body repeats nothing and is reported as a conflict:
 // its sender must not receive the other request's result, and to run it would be a
 // second run under the key.
 func (t *recordTable) find(
 	x *exchange.Exchange, q rules.Request, now time.Duration, settings rules.Settings,
-) (id rules.RequestID, conflict bool) {
-	rec := t.byKey[recordKey(x, settings)]
+) (rec *record, conflict bool) {
+	rec = t.byKey[recordKey(x, settings)]
 	if rec == nil || rec.neverStarted || now-q.Age > rec.expires ||
 		x.Safe && rec.ended && !rec.succeeded && !rec.failRepeats {
-		return 0, false
+		return nil, false
 	}
-	return rec.holder, !x.Safe && rec.bodyHash != 0 && rec.bodyHash != x.BodyHash()
+	return rec, !x.Safe && rec.bodyHash != 0 && rec.bodyHash != x.BodyHash()
 }
 
 // keepRecord creates or renews the record of a request.
--- a/internal/node/recovery_test.go
+++ b/internal/node/recovery_test.go
@@ -6,19 +6,25 @@
 	"time"
 
 	"robinmast/decide/recovery"
+	"robinmast/internal/exchange"
 	"robinmast/internal/pool"
 	"robinmast/rules"
 )
 
 // stubRecovery records the run times that the node observes.
-type stubRecovery struct{ took []time.Duration }
+type stubRecovery struct {
+	took    []time.Duration
+	inDoubt bool // what InDoubt returns
+}
 
 func (*stubRecovery) Begin(time.Duration) {}
 func (*stubRecovery) WorkerPoolUp(time.Duration, time.Duration, bool) (*rules.Learned, float64, float64) {
 	return nil, 0, 1
 }
-func (*stubRecovery) InDoubt(time.Duration, int, uint64, bool, time.Duration) bool { return false }
-func (*stubRecovery) Arrived(time.Duration, bool)                                  {}
+func (s *stubRecovery) InDoubt(time.Duration, int, uint64, bool, time.Duration) bool {
+	return s.inDoubt
+}
+func (*stubRecovery) Arrived(time.Duration, bool) {}
 func (s *stubRecovery) RunSucceeded(_ time.Duration, _ int, took, _ time.Duration) bool {
 	s.took = append(s.took, took)
 	return false
@@ -51,3 +57,17 @@
 		t.Errorf("observed %v on a core of its own, want %v; %d runs are in progress", observed.took, want, r.running)
 	}
 }
+
+// Guards against the result of another request: one that may have run in a previous incarnation joined the record of its
+// key even if that had expired, and got the result of an earlier request.
+func TestRequestInDoubtDoesNotJoinExpiredRecord(t *testing.T) {
+	recovery := &stubRecovery{}
+	r := newRigWith(t, Config{Settings: defaultSettings(), Recovery: recovery}, true)
+	earlier := r.send(1, withKey("k"))
+	r.RunEnded(earlier, pool.Complete, time.Millisecond, []byte("earlier"))
+	r.runBatches()
+	r.advance(310 * time.Millisecond) // its window is over
+	recovery.inDoubt = true
+	request := r.send(1, withKey("k"))
+	r.wantAnswer(request, exchange.Failed, "")
+}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -17,6 +17,7 @@
 	running bool    // a run was started and is not over; setRunEnded resets it
 	joined  bool    // waits for the result of the earlier request that it repeats
 	record  *record // the idempotency record that it holds
+	earlier *record // the record of the earlier request that it repeats, nil = none
 
 	waitsFor    *record       // the record whose run it waits for, nil = none
 	runsAtStart int           // runs in progress when its run started, this one included
@@ -54,9 +55,9 @@
 	n.requests[req.id], n.byExchange[x] = req, req
 	n.byTxn[x.Txn] = struct{}{}
 	q := moduleRequest(x, req.id, n.unixMillis())
-	repeatOf, conflict := n.records.find(x, q, n.now, n.cfg.Settings)
+	earlier, conflict := n.records.find(x, q, n.now, n.cfg.Settings)
 	switch {
-	case repeatOf == req.id:
+	case earlier == nil:
 	case conflict:
 		if c := n.KeyConflicts.Add(1); c&(c-1) == 0 { // the 1st, 2nd, 4th, 8th ...
 			n.cfg.Log.Warn("idempotency key belongs to another request",
@@ -66,7 +67,7 @@
 		n.release(req)
 		return
 	default:
-		q.RepeatOf = repeatOf
+		req.earlier, q.RepeatOf = earlier, earlier.holder
 	}
 	if n.cfg.Recovery != nil && n.checkInDoubt(req, &q) {
 		return
