An unsafe request that comes again under its name fails, instead of running again

Cause: an unsafe request was known by its name only while it was open. On a related path, a request of the name of a run that failed at a break of the pool's link never ended: its notice was dropped as that of the failed run. It fails now.

--- /dev/null
+++ b/cmd/robinmast/badclients_test.go
@@ -0,0 +1,315 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"robinmast/internal/standin/badclients"
+	testplatform "robinmast/internal/standin/platform"
+)
+
+var (
+	badKinds  = flag.String("bad-kinds", "", "kinds of bad clients that TestGoodClientsBesideBadOnes plays, separated by commas; all = every kind")
+	badCounts = flag.String("bad-counts", "40", "numbers of bad clients that it plays, separated by commas")
+	badMemory = flag.String("bad-memory", "48", "memory limits of the node that it plays, MB, separated by commas")
+	badTime   = flag.Duration("bad-time", 3*time.Second, "how long the bad clients act in each play")
+)
+
+// The good clients of a play: dispatchers that send requests at a steady rate, well below what the node can run.
+const (
+	goodDispatchers = 3
+	goodInterval    = 60 * time.Millisecond // between two requests of a dispatcher
+	goodTimeout     = 2 * time.Second       // how long a dispatcher waits for an answer
+	goodWorkMillis  = 10.0
+	answerSlack     = 110 * time.Millisecond // of the settings and of the sockets, together
+	answerGiveUp    = 15 * time.Second       // an answer that takes longer counts as none
+)
+
+// goodTarget is the share of good requests that must be served in time.
+const goodTarget = 0.95
+
+// badPlay is one play of good clients beside bad ones.
+type badPlay struct {
+	kind     badclients.Kind // "" = no bad clients
+	count    int
+	memoryMB int
+}
+
+func (p badPlay) String() string { return fmt.Sprintf("%s %d, %d MB", p.kind, p.count, p.memoryMB) }
+
+// badOutcome is what a play showed.
+type badOutcome struct {
+	sent, served, refused, failed int // good requests; served: in time
+	late, lost                    int // good requests answered past their due time, or never
+	delays                        []time.Duration
+	peakKB                        int  // memory that no file backs
+	crashed                       bool // the node ended
+	ranTwice                      int  // keyed or unsafe requests that ran more than once
+	messages, connections         int64
+}
+
+// percentile returns the delay that a share of the answers did not exceed.
+func (o *badOutcome) percentile(share float64) time.Duration {
+	if len(o.delays) == 0 {
+		return 0
+	}
+	slices.Sort(o.delays)
+	return o.delays[min(int(share*float64(len(o.delays))), len(o.delays)-1)].Round(time.Millisecond)
+}
+
+func (o *badOutcome) String() string {
+	return fmt.Sprintf("sent %d, served %.3f, refused %d, failed %d, late %d, lost %d, p50 %v, p99 %v, max %v, memory %.1f MB, crashed %v, "+
+		"ran twice %d; bad: %d messages, %d connections", o.sent, float64(o.served)/float64(max(o.sent, 1)), o.refused, o.failed,
+		o.late, o.lost, o.percentile(0.5), o.percentile(0.99), o.percentile(1), float64(o.peakKB)/1024, o.crashed, o.ranTwice,
+		o.messages, o.connections)
+}
+
+// TestGoodClientsBesideBadOnes plays steady good clients beside bad ones, on the built program, and checks that the
+// node keeps its memory limit, answers the good clients in time and runs nothing twice. The full matrix:
+//
+//	go test ./cmd/robinmast -run TestGoodClientsBeside -v -bad-kinds all -bad-counts 1,40,300 -bad-memory 32,48 -bad-time 6s -timeout 1h
+func TestGoodClientsBesideBadOnes(t *testing.T) {
+	kinds := []badclients.Kind{badclients.HalfRequest, badclients.LeavesUnread}
+	switch *badKinds {
+	case "":
+	case "all":
+		kinds = append([]badclients.Kind{""}, badclients.Kinds...)
+	default:
+		kinds = nil
+		for _, k := range strings.Split(*badKinds, ",") {
+			kinds = append(kinds, badclients.Kind(k))
+		}
+	}
+	binary := buildProgram(t)
+	for _, kind := range kinds {
+		for _, count := range splitNumbers(t, *badCounts) {
+			for _, memoryMB := range splitNumbers(t, *badMemory) {
+				p := badPlay{kind, count, memoryMB}
+				t.Run(p.String(), func(t *testing.T) { p.check(t, p.play(t, binary)) })
+			}
+		}
+	}
+}
+
+// check compares an outcome with the targets.
+func (p badPlay) check(t *testing.T, o *badOutcome) {
+	t.Log(o)
+	if o.crashed || o.peakKB > p.memoryMB<<10 {
+		t.Errorf("the node crashed (%v) or took %d KB, more than %d MB", o.crashed, o.peakKB, p.memoryMB)
+	}
+	if float64(o.served) < goodTarget*float64(o.sent) || o.late > 0 || o.lost > 0 {
+		t.Errorf("%d of %d good requests were served in time, %d late, %d lost; want %.2f and none", o.served, o.sent, o.late, o.lost, goodTarget)
+	}
+	if o.ranTwice > 0 {
+		t.Errorf("%d requests ran twice", o.ranTwice)
+	}
+}
+
+func splitNumbers(t *testing.T, list string) (numbers []int) {
+	t.Helper()
+	for _, text := range strings.Split(list, ",") {
+		n := 0
+		if _, err := fmt.Sscan(text, &n); err != nil {
+			t.Fatalf("%q: %v", text, err)
+		}
+		numbers = append(numbers, n)
+	}
+	return numbers
+}
+
+// badClientsConfig returns the node's configuration for a play.
+func badClientsConfig(addr, pool, members string, memoryMB int) string {
+	return strings.NewReplacer("127.0.0.1:8080", addr, "127.0.0.1:4400", pool, "127.0.0.1:2379", members,
+		`"cores":1.0,"memory_mb":96,"sockets":512`, fmt.Sprintf(`"cores":1.0,"memory_mb":%d,"sockets":384`, memoryMB),
+		`"lanes":[`, `"lanes":[{"name":"once","aimMs":1000,"deadlineMs":4000,"effect":"at_most_once","worth":2},`,
+		`"parties":[{"name":"acme","share":1,"quotaRps":10}]`,
+		`"parties":[{"name":"acme","share":0.9,"quotaRps":100},{"name":"guest","share":0.1,"quotaRps":5}]`,
+		`"windowMs":5000`, `"windowMs":60000`, `"cpus":2`, `"cpus":4`).Replace(goodConfig)
+}
+
+// play plays good and bad clients against a node of its own.
+func (p badPlay) play(t *testing.T, binary string) *badOutcome {
+	t.Helper()
+	var mu sync.Mutex
+	runs := map[string]int{} // of keyed and unsafe requests, by body
+	pool, err := testplatform.StartPool(4, 0.2, func(r testplatform.Run) (float64, string, []byte) {
+		work := 1.0
+		if strings.HasPrefix(string(r.Body), "good") {
+			work = goodWorkMillis
+		}
+		if r.Class != "read" {
+			mu.Lock()
+			runs[string(r.Body)]++
+			mu.Unlock()
+		}
+		return work, "complete", []byte("did " + r.ID)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer pool.Close()
+	members, err := testplatform.StartMembers()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer members.Close()
+	addr := freeAddress(t)
+	dir := t.TempDir()
+	config := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(config, []byte(badClientsConfig(addr, pool.Addr(), members.Addr(), p.memoryMB)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ini := filepath.Join(dir, "robinmast.ini")
+	if err := os.WriteFile(ini, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	node := startProgram(t, binary, ini, config)
+	defer node.kill()
+	if !node.ready() {
+		t.Fatalf("did not start: %s", node.out.String())
+	}
+	o := &badOutcome{}
+	stopWatching := node.watchMemory(o)
+	var bad *badclients.Group
+	if p.kind != "" {
+		bad = badclients.Start(badclients.Config{Address: addr, Kind: p.kind, Count: p.count, Read: "read", Keyed: "pay",
+			Unsafe: "once", Tenant: "guest"})
+	}
+	playGoodClients(t, addr, o)
+	if bad != nil {
+		bad.Stop()
+		o.messages, o.connections = bad.Messages.Load(), bad.Connected.Load()
+	}
+	stopWatching()
+	mu.Lock()
+	defer mu.Unlock()
+	for _, n := range runs {
+		if n > 1 {
+			o.ranTwice++
+		}
+	}
+	if o.crashed || testing.Verbose() && *badKinds != "" && o.served < o.sent {
+		t.Logf("log of the node: %s", lastLines(node.out.String(), 12))
+	}
+	return o
+}
+
+func lastLines(text string, count int) string {
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	return strings.Join(lines[max(len(lines)-count, 0):], "\n")
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// playGoodClients sends the good clients' requests for badTime and judges their answers.
+func playGoodClients(t *testing.T, addr string, o *badOutcome) {
+	t.Helper()
+	var mu sync.Mutex
+	var open, dispatchers sync.WaitGroup
+	record := func(delay time.Duration, a testplatform.Answer, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		o.sent++
+		switch {
+		case err != nil || delay > answerGiveUp:
+			o.lost++
+			return
+		case delay > goodTimeout+answerSlack:
+			o.late++
+		case a.Status == "ACK":
+			o.served++
+		case a.Status == "NAK":
+			o.refused++
+		default:
+			o.failed++
+		}
+		o.delays = append(o.delays, delay)
+	}
+	for d := range goodDispatchers {
+		dispatchers.Go(func() {
+			var client *testplatform.Client
+			for i, began := 0, time.Now(); time.Since(began) < *badTime; i++ {
+				time.Sleep(time.Until(began.Add(time.Duration(i) * goodInterval)))
+				if client == nil || !client.Usable() {
+					if client, _ = testplatform.Dial(addr, d); client == nil {
+						continue
+					}
+				}
+				c, q := client, testplatform.Request{
+					Txn: fmt.Sprintf("%08x%08x", d+1, i), Class: "read", Tenant: "acme", Timeout: goodTimeout,
+					WorkHintMs: goodWorkMillis, Body: fmt.Appendf(nil, "good %d %d", d, i),
+				}
+				if i%2 == 1 {
+					q.Class, q.IdempotencyKey = "pay", q.Txn
+				}
+				sentAt := time.Now()
+				open.Go(func() {
+					a, err := c.Call(q)
+					record(time.Since(sentAt), a, err)
+				})
+			}
+			answered := make(chan struct{})
+			go func() { open.Wait(); close(answered) }()
+			select {
+			case <-answered:
+			case <-time.After(answerGiveUp): // the rest count as lost
+			}
+			if client != nil {
+				client.Close()
+			}
+		})
+	}
+	dispatchers.Wait()
+	open.Wait()
+}
+
+// buildProgram builds the node's program and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "robinmast")
+	buildInto(t, binary)
+	return binary
+}
+
+// watchMemory records the peak memory of the node, and whether it ended, until the returned function is called.
+func (v *restartedNode) watchMemory(o *badOutcome) (stop func()) {
+	done := make(chan struct{})
+	var watching sync.WaitGroup
+	anonymous := regexp.MustCompile(`(?m)^RssAnon:\s+(\d+) kB`)
+	watching.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.cmd.Process.Pid))
+			m := anonymous.FindSubmatch(text)
+			if err != nil || m == nil {
+				o.crashed = true
+				return
+			}
+			kb := 0
+			_, _ = fmt.Sscan(string(m[1]), &kb)
+			o.peakKB = max(o.peakKB, kb)
+		}
+	})
+	return func() { close(done); watching.Wait() }
+}
--- a/cmd/robinmast/kill_test.go
+++ b/cmd/robinmast/kill_test.go
@@ -58,6 +58,12 @@
 	if err := os.WriteFile(ini, []byte(text), 0o600); err != nil {
 		v.t.Fatal(err)
 	}
+	v.run(ini)
+}
+
+// run starts the program with an INI file.
+func (v *restartedNode) run(ini string) {
+	v.t.Helper()
 	c := exec.Command(v.binary, "run", "--config", ini)
 	c.Env = v.env
 	v.out = &lockedBuffer{}
@@ -68,6 +74,22 @@
 	v.cmd = c
 }
 
+// buildInto builds the node's program.
+func buildInto(t *testing.T, binary string) {
+	t.Helper()
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+}
+
+// startProgram starts a built program with an INI file and the platform's configuration.
+func startProgram(t *testing.T, binary, ini, config string) *restartedNode {
+	t.Helper()
+	v := &restartedNode{t: t, binary: binary, env: append(os.Environ(), "EDGE_CONFIG="+config)}
+	v.run(ini)
+	return v
+}
+
 // ready waits until the node has its worker pool; it returns false after ten seconds.
 func (v *restartedNode) ready() bool {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
@@ -93,9 +115,7 @@
 	rnd := rand.New(rand.NewPCG(*killSeed, 1))
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "robinmast")
-	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v: %s", err, out)
-	}
+	buildInto(t, binary)
 	ran := &executions{runs: map[string]int{}, rnd: rand.New(rand.NewPCG(*killSeed, 2))}
 	pool, err := testplatform.StartPool(8, 0, ran.work)
 	if err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -117,6 +117,7 @@
 	})
 	n.guard(func() { n.module.FinishBatch(n.now) })
 	n.records.removeExpired(n.now)
+	n.recentRuns.removeExpired(n.now)
 	if n.cfg.ResultCache != nil {
 		n.failOverdueRepeats()
 		n.cfg.ResultCache.Flush(n.now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,8 +71,9 @@
 
 // Node is one node's loop. Its exported methods may be called by any goroutine.
 type Node struct {
-	ModuleResets atomic.Int64 // times that the module panicked and was replaced
-	KeyConflicts atomic.Int64 // requests whose idempotency key belongs to another request
+	ModuleResets  atomic.Int64 // times that the module panicked and was replaced
+	KeyConflicts  atomic.Int64 // requests whose idempotency key belongs to another request
+	RepeatedNames atomic.Int64 // requests that failed since their transaction name is that of another one
 
 	cfg        Config
 	front      Front
@@ -102,8 +103,10 @@
 	running        int // requests with a run in progress
 	byExchange     map[*exchange.Exchange]*openRequest
 	byTxn          map[string]struct{} // transaction names of the open requests
-	timers         []timer             // earliest first
-	gaugesPolled   bool                // the gauges were polled for the earliest timer
+	recentRuns     recentRuns
+	recentRunTime  time.Duration // how long a name stays in recentRuns
+	timers         []timer       // earliest first
+	gaugesPolled   bool          // the gauges were polled for the earliest timer
 	records        recordTable
 	followUps      []event                     // produced by the loop itself, for its next batch
 	restored       []*restoredRequest          // requests of previous incarnations
@@ -128,6 +131,9 @@
 		byTxn: map[string]struct{}{}, records: newRecordTable(cfg.ResultBytes),
 	}
 	n.turn.L = &n.mu
+	for _, class := range cfg.Settings.Classes { // nobody waits for a request for longer
+		n.recentRunTime = max(n.recentRunTime, class.Deadline+lateReadGrace)
+	}
 	return n
 }
 
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -46,7 +46,9 @@
 	if x.FinalState() != exchange.Open { // its caller left before this batch
 		return
 	}
-	if _, duplicate := n.byTxn[x.Txn]; duplicate { // the worker pool could not distinguish them
+	// The worker pool could not distinguish two open requests of one name, and a run of that name may be over already.
+	if _, open := n.byTxn[x.Txn]; open || n.recentRuns.contains(x.Txn) {
+		n.RepeatedNames.Add(1)
 		x.Answer(exchange.Answer{Kind: exchange.Failed})
 		return
 	}
@@ -153,6 +155,7 @@
 		o := rules.Failed
 		if e.outcome == pool.NeverStarted {
 			o = rules.NeverStarted
+			n.recentRuns.remove(req.x.Txn)
 			if req.record != nil && !joined {
 				req.record.neverStarted = true
 			}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -190,11 +190,17 @@
 	c.Send(append(line, '\n'))
 }
 
-// StartRun starts the run of a request, once the link is ready.
+// StartRun starts the run of a request, once the link is ready. It fails one of the name of a run that failed at the last
+// replay and may still be in progress: their notices could not be distinguished.
 func (l *Link) StartRun(x *exchange.Exchange) {
+	l.Counters.Started.Add(1)
+	if l.isAbandoned(x.Txn) {
+		l.Counters.EndedRuns[Error].Add(1)
+		l.sink.RunEnded(x, Error, 0, nil)
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Counters.Started.Add(1)
 	l.lastOrder++
 	r := &run{x: x, order: l.lastOrder}
 	l.runs[x.Txn] = r
--- a/internal/pool/replay_test.go
+++ b/internal/pool/replay_test.go
@@ -334,3 +334,27 @@
 	t.Logf("%d runs, %d links, %d started again, %d in doubt", len(safe), l.Counters.Links.Load(),
 		l.Counters.Restarted.Load(), l.Counters.InDoubt.Load())
 }
+
+// Guards against a run that never ends for the node: a request of the name of one that failed at a break was started,
+// and the notice of its end was taken for that of the failed one.
+func TestStartOfAnAbandonedNameFails(t *testing.T) {
+	l, sink, w := startLink(t)
+	w.bind(1, 0)
+	l.StartRun(request("doubted", false))
+	w.expect(spawnLine("doubted"))
+	w.send(`{"op":"chatter","seq":1,"end":""}`)
+	w.breakWhenRead(l, 1)
+	w.replay(2, 1)
+	w.expect(suspendLine("doubted"))
+	standin.Eventually(t, "the failure of the run in doubt", func() bool { return len(sink.endedRuns()) == 1 })
+	again := request("doubted", false)
+	l.StartRun(again)
+	standin.Eventually(t, "the failure of the second request", func() bool { return len(sink.endedRuns()) == 2 })
+	if last := sink.endedRuns()[1]; last.x != again || last.end != Error {
+		t.Errorf("ended: %+v, want the second request with an error", last)
+	}
+	w.expectSilence()
+	if n := l.OpenRuns(); n != 0 {
+		t.Errorf("%d runs are open", n)
+	}
+}
