front: the unread requests of a connection that its client reset are dropped

Cause: the kernel delivers what had arrived before a reset ahead of the error, so that the node read, passed on and answered the requests of clients that were gone until its first write failed. Change: a reader asks the kernel whether the peer has reset the connection, after each read and after it waited for a batch. An orderly close is not meant: its client may read its answers.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -116,6 +116,7 @@
 	if c.batchMessages++; c.batchMessages > messagesPerBatch {
 		c.server.sink.AwaitBatch(c.batch)
 		c.batch, c.batchMessages = c.server.sink.Batch(), 1
+		c.CheckPeer()
 	}
 }
 
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -431,3 +431,27 @@
 		})
 	}
 }
+
+// Guards against runs for nobody: a client reset its connection with much still unread, and the requests that the kernel
+// held were read and passed on all the same.
+func TestUnreadRequestsOfAResetConnectionAreDropped(t *testing.T) {
+	const unread = 25 // beside the first request, with bodies that take far more than the input ring
+	gate := make(chan struct{})
+	b := startServer(t, func(s *Server) { s.sink.(*recordingSink).gate = gate })
+	d := b.dial(t)
+	for i := range 1 + unread {
+		d.Send("RPC.CALL", fmt.Sprint(i+1), "read", safeFields, string(make([]byte, maxBodyBytes)))
+	}
+	standin.Eventually(t, "the first request", func() bool { a, _ := b.sink.counts(); return a == 1 })
+	d.SetLinger(0)
+	d.Close()
+	close(gate)
+	standin.Eventually(t, "the close", func() bool { return b.Conns() == 0 && b.requestCounters.OpenRequests() == 0 })
+	readAtOnce := inRingBytes/maxBodyBytes + 1 // what had been read from the network before the reset
+	if arrived, gone := b.sink.counts(); arrived > readAtOnce || gone != arrived {
+		t.Errorf("%d requests were passed on and %d abandoned, want at most %d of both", arrived, gone, readAtOnce)
+	}
+	if n := b.Traffic.Closed[stream.PeerReset].Load(); n != 1 {
+		t.Errorf("%d connections closed as reset, want 1", n)
+	}
+}
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -13,6 +13,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxLingerBytes bounds how much input is discarded from a peer that keeps sending after its connection was
@@ -168,6 +170,32 @@
 	}
 }
 
+// CheckPeer closes the connection if the peer has reset it, and reports whether it is open. The kernel still delivers what
+// had arrived before a reset, ahead of the error: requests for whose answers nobody waits. The reader calls it after it
+// has read and before it handles what it read, and again after it had to wait. Only a connection with AnswersPending
+// is checked.
+func (c *Conn) CheckPeer() bool {
+	if c.AnswersPending != nil && c.wasReset() {
+		c.Abort(PeerReset)
+	}
+	return c.CloseReason() == StillOpen
+}
+
+// wasReset reports whether the peer has reset the connection. One that only closed its side, and may read its answers,
+// has not.
+func (c *Conn) wasReset() bool {
+	if c.raw == nil {
+		return false
+	}
+	reset := false
+	err := c.raw.Control(func(fd uintptr) {
+		state := []unix.PollFd{{Fd: int32(fd)}} // errors are reported without being asked for
+		n, err := unix.Poll(state, 0)
+		reset = err == nil && n == 1 && state[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
+	})
+	return err == nil && reset
+}
+
 // readUnplanned reads on a connection without planned closes (AnswersPending is nil). Once the connection is
 // closed only closeDescriptor reads: two concurrent readers would leave gaps in what the caller receives.
 func (c *Conn) readUnplanned(space []byte) (int, error) {
@@ -218,16 +246,11 @@
 
 // readAvailable reads the input that is available, without waiting. It returns errNoInput if there is none.
 func (c *Conn) readAvailable(p []byte) (n int, err error) {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	if c.raw == nil {
 		return 0, errNoInput
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
 	var failed error
-	err = raw.Read(func(fd uintptr) bool {
+	err = c.raw.Read(func(fd uintptr) bool {
 		for {
 			if n, failed = syscall.Read(int(fd), p); failed != syscall.EINTR {
 				return true
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -12,6 +12,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"robinmast/rules"
@@ -63,6 +64,7 @@
 // other methods are safe for concurrent use.
 type Conn struct {
 	net.Conn
+	raw             syscall.RawConn // of Conn, nil = none
 	traffic         *Traffic
 	limits          Limits
 	frame           Framer
@@ -108,6 +110,11 @@
 		writerWake: make(chan struct{}, 1), recheck: make(chan struct{}, 1),
 		writerDone: make(chan struct{}), descriptorClosed: make(chan struct{}), onClose: onClose,
 	}
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			s.raw = raw
+		}
+	}
 	go s.write()
 	return s
 }
@@ -142,6 +149,9 @@
 		}
 		n, err := c.readNetwork(space)
 		switch {
+		case n > 0 && !c.CheckPeer():
+			c.traffic.Discarded.Add(int64(n))
+			return 0, &Error{Reason: c.CloseReason()}
 		case n > 0:
 			c.inputError = c.queueInput(space[:n])
 		case err != nil:
