front: all connections together hand over a bounded amount between two batches

Cause: a connection had a bound on messages between two batches of the loop, all of them together had none, and neither had accepting.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -15,8 +15,7 @@
 )
 
 // client is one dispatcher's connection with the requests that are open on it, by tag. Only its reader ever waits:
-// with a health check for admission, with a request until the sink has memory for it, and after many messages for the
-// sink's next batch.
+// for its turn to handle input, with a health check for admission, and with a request until the sink has memory for it.
 type client struct {
 	*stream.Conn
 	server *Server
@@ -28,9 +27,7 @@
 	finSentAt time.Time                     // when FIN was sent on it, so that no new request comes
 	closedAt  time.Time                     // when it was closed
 
-	// Used by the reader only: the sink's batch in which it read last, and the messages read since that.
-	batch         uint64
-	batchMessages int
+	turn *readTurn
 }
 
 // Write discards what redcon itself sends, which is only replies to broken framing. Those connections are closed
@@ -50,6 +47,7 @@
 
 // onClose abandons the requests that were open when the connection closed, and logs abnormal reasons.
 func (c *client) onClose(reason stream.CloseReason) {
+	c.turn.cancel()
 	c.mu.Lock()
 	open := c.open
 	c.open, c.closedAt = nil, time.Now()
@@ -90,7 +88,9 @@
 	if len(cmd.Args) > 1 {
 		tag = cmd.Args[1]
 	}
-	c.pace()
+	if c.turn.charge(messageCost + len(cmd.Raw)) {
+		c.CheckPeer()
+	}
 	switch string(cmd.Args[0]) {
 	case "RPC.CALL":
 		c.call(tag, cmd.Args)
@@ -107,17 +107,13 @@
 	}
 }
 
-// pace makes the reader wait for the sink's next batch if it has passed on messagesPerBatch messages since the last
-// one. A peer that sends without pause would otherwise keep the processor from the sink and from other peers.
-func (c *client) pace() {
-	if batch := c.server.sink.Batch(); batch != c.batch {
-		c.batch, c.batchMessages = batch, 0
-	}
-	if c.batchMessages++; c.batchMessages > messagesPerBatch {
-		c.server.sink.AwaitBatch(c.batch)
-		c.batch, c.batchMessages = c.server.sink.Batch(), 1
-		c.CheckPeer()
-	}
+// waitWithoutTurn calls wait, which may wait for something other than this connection, and lets other readers go on
+// meanwhile.
+func (c *client) waitWithoutTurn(wait func()) {
+	c.turn.Release()
+	wait()
+	c.turn.Acquire()
+	c.CheckPeer()
 }
 
 // reject answers a message that could not be parsed as a request with FAIL, and with tag 0 if its own tag
@@ -169,7 +165,9 @@
 	x := exchange.New(c.server.requestCounters, c, tag, call)
 	c.open[tag] = x
 	c.mu.Unlock()
+	c.turn.Release() // the sink may have to wait for memory
 	c.server.sink.Arrived(x)
+	c.turn.Acquire()
 }
 
 // rejecter replies to a request that was rejected before it became open.
@@ -211,8 +209,9 @@
 		c.reject(tag)
 		return
 	}
-	// Only this connection's reader waits: health checks come on a connection of their own.
-	c.server.awaitAdmission(context.Background(), connlimit.HealthCheck)
+	if c.server.limiter != nil { // only this connection's reader waits: health checks come on a connection of their own
+		c.waitWithoutTurn(func() { c.server.awaitAdmission(context.Background(), connlimit.HealthCheck) })
+	}
 	start := time.Now()
 	defer c.server.chargeAdmission(connlimit.HealthCheck, start)
 	color := "RED"
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -65,8 +65,8 @@
 	CallerGone(*exchange.Exchange)
 	// Batch returns the number of the last batch of events that the sink has handled.
 	Batch() uint64
-	// AwaitBatch waits until the sink has handled a batch after the one with this number.
-	AwaitBatch(after uint64)
+	// RequestBatch makes the sink handle a batch soon, after which it calls BatchHandled. It must not block.
+	RequestBatch()
 }
 
 // Config configures a Server.
@@ -76,6 +76,7 @@
 	MaxConns      int            // connections open at once, 0 = no limit; more wait to be accepted
 	OutBytes      int64          // bytes of memory of all output rings together
 	SetupCPUShare float64        // share of a core for new connections and health checks, 0 = no limit
+	ReadTurns     int            // connections whose input is handled at a time, 0 = one
 	Log           *slog.Logger
 }
 
@@ -118,6 +119,8 @@
 
 	stopAccepting atomic.Bool // StopListening was called
 
+	readTurns *readTurns
+
 	started   time.Time
 	limiterMu sync.Mutex
 	limiter   *connlimit.Limiter // nil = no limit
@@ -143,6 +146,7 @@
 	if cfg.SetupCPUShare > 0 {
 		s.limiter = connlimit.New(0, cfg.SetupCPUShare)
 	}
+	s.readTurns = newReadTurns(cfg.ReadTurns, sink)
 	s.healthy.Store(true)
 	s.idleTimeout.Store(int64(cfg.Settings.MaxIdleTimeout))
 	return s
@@ -166,6 +170,15 @@
 	s.idleTimeout.Store(int64(after))
 }
 
+// BatchHandled notifies the server that its sink has handled a batch. It reports whether input waits for the next one.
+func (s *Server) BatchHandled() (waiting bool) { return s.readTurns.renew() }
+
+// BatchesEnded notifies the server that its sink handles no further batch.
+func (s *Server) BatchesEnded() { s.readTurns.unlimit() }
+
+// ReadWaits returns how many times input had to wait for other connections' input.
+func (s *Server) ReadWaits() int64 { return s.readTurns.waits.Load() }
+
 // Serve accepts connections from ln until ctx is cancelled or StopListening is called, and then returns nil.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	s.mu.Lock()
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -78,46 +78,23 @@
 }
 
 // Batch returns the number of the last batch that was handled.
-func (n *Node) Batch() uint64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.batch
-}
+func (n *Node) Batch() uint64 { return n.batch.Load() }
 
-// AwaitBatch waits until a batch after the one with this number was handled, or the loop has ended. Each batch
-// lets only turnsPerBatch of the readers go on that wait, those that have waited longest first.
-func (n *Node) AwaitBatch(after uint64) {
-	n.wakeLoop()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.batch != after || n.ended {
-		return
-	}
-	n.awaitingTurn++
-	n.turn.Wait()
-}
+// RequestBatch makes the loop handle a batch soon, also if there is no event.
+func (n *Node) RequestBatch() { n.wakeLoop() }
 
 // noteBatch counts a batch as handled and lets the next readers go on.
 func (n *Node) noteBatch() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.batch++
-	for turns := 0; turns < turnsPerBatch && n.awaitingTurn > 0; turns++ {
-		n.awaitingTurn--
-		n.turn.Signal()
-	}
-	if n.awaitingTurn > 0 {
+	n.batch.Add(1)
+	if n.front.BatchHandled() {
 		n.wakeLoop()
 	}
 }
 
 // stopIntake lets all readers go on that wait for the loop, since it has ended.
 func (n *Node) stopIntake() {
-	n.mu.Lock()
-	n.ended = true
-	n.mu.Unlock()
-	n.turn.Broadcast()
 	n.intake.close()
+	n.front.BatchesEnded()
 }
 
 // Arrived delivers a request that was read. It waits while too much input waits for the
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -15,9 +15,6 @@
 	// exchange, its other fields, the events of its arrival and its end, and the spare
 	// capacity of the event queue.
 	eventOverheadBytes = 1 << 10
-	// turnsPerBatch is how many of the readers that wait for a batch may go on after it. More
-	// would fill the scheduler's queue, in which readers of other connections wait behind them.
-	turnsPerBatch = 4
 )
 
 // intake bounds the memory of what was read from connections and waits for the loop's next
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,10 @@
 	SetHealth(good bool)
 	PublishLoad(value float64)
 	SetIdleTimeout(after time.Duration)
+	// BatchHandled is called after each batch; waiting asks for the next one soon.
+	BatchHandled() (waiting bool)
+	// BatchesEnded is called when no further batch comes.
+	BatchesEnded()
 }
 
 // Pool is the link to the worker pool. Its methods must not block.
@@ -81,16 +85,13 @@
 	clock      func() time.Duration // monotonic; negative before the start of this process
 	unixMillis func() float64       // Unix time, milliseconds
 
-	intake *intake // bounds the requests in events
+	intake *intake       // bounds the requests in events
+	batch  atomic.Uint64 // number of the last batch that was handled
 
-	mu           sync.Mutex
-	events       []event       // for the next batch
-	gauges       []float64     // read last
-	wake         chan struct{} // signalled when an event is queued
-	batch        uint64        // number of the last batch that was handled
-	turn         sync.Cond     // signalled, with mu, for each reader that may go on
-	awaitingTurn int           // readers that wait for turn
-	ended        bool          // the loop has ended
+	mu     sync.Mutex
+	events []event       // for the next batch
+	gauges []float64     // read last
+	wake   chan struct{} // signalled when an event is queued
 
 	// The fields below are used by the loop's goroutine only.
 	module         decisionModule
@@ -130,7 +131,6 @@
 		requests:   map[rules.RequestID]*openRequest{}, byExchange: map[*exchange.Exchange]*openRequest{},
 		byTxn: map[string]struct{}{}, records: newRecordTable(cfg.ResultBytes),
 	}
-	n.turn.L = &n.mu
 	for _, class := range cfg.Settings.Classes { // nobody waits for a request for longer
 		n.recentRunTime = max(n.recentRunTime, class.Deadline+lateReadGrace)
 	}
--- a/internal/node/rig_test.go
+++ b/internal/node/rig_test.go
@@ -22,6 +22,8 @@
 	answers            map[uint64][]exchange.Answer
 	healthy            bool
 	published          float64
+	readersWait        bool // what BatchHandled returns
+	batchesEnded       bool
 }
 
 func (s *stubPeers) StartRun(x *exchange.Exchange) {
@@ -46,6 +48,10 @@
 
 func (s *stubPeers) SetIdleTimeout(time.Duration) {}
 
+func (s *stubPeers) BatchHandled() (waiting bool) { return s.readersWait }
+
+func (s *stubPeers) BatchesEnded() { s.batchesEnded = true }
+
 func (s *stubPeers) Reply(tag uint64, a exchange.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -82,10 +82,14 @@
 	AnswersPending func() bool
 	// OnDescriptorClosed, if set, is called once the descriptor is closed.
 	OnDescriptorClosed func()
-	plan               atomic.Uint32 // a closePlan
-	recheck            chan struct{} // signalled when the plan, or a condition it waits for, has changed
-	lingerStopped      atomic.Bool
-	reading            sync.Mutex // held while reading, if AnswersPending is nil
+	// Turn, if set, is held by the reader while it handles what it has read: it is acquired after each read from the
+	// network and released before the next one, so that a reader which waits for input does not hold it. It is set
+	// before the first Read.
+	Turn          Turn
+	plan          atomic.Uint32 // a closePlan
+	recheck       chan struct{} // signalled when the plan, or a condition it waits for, has changed
+	lingerStopped atomic.Bool
+	reading       sync.Mutex // held while reading, if AnswersPending is nil
 
 	mu               sync.Mutex
 	out              *Ring
@@ -101,6 +105,19 @@
 	onClose          func(CloseReason)
 }
 
+// Turn is a reader's permission to handle input, of which there are fewer than readers. Only the reader calls its
+// methods.
+type Turn interface {
+	Acquire() // waits until it is granted; does nothing if it is held
+	Release() // does nothing if it is not held
+}
+
+// noTurn is a Turn that is always granted.
+type noTurn struct{}
+
+func (noTurn) Acquire() {}
+func (noTurn) Release() {}
+
 // New wraps a connection and starts its writer goroutine. onClose is called once, when the connection is
 // closed, by the goroutine that closed it; it may be nil.
 func New(c net.Conn, frame Framer, l Limits, t *Traffic, onClose func(CloseReason)) *Conn {
@@ -108,7 +125,7 @@
 	s := &Conn{
 		Conn: c, traffic: t, limits: l, frame: frame, in: NewRing(l.ReadBufferBytes), out: NewRing(l.WriteBufferBytes),
 		writerWake: make(chan struct{}, 1), recheck: make(chan struct{}, 1),
-		writerDone: make(chan struct{}), descriptorClosed: make(chan struct{}), onClose: onClose,
+		writerDone: make(chan struct{}), descriptorClosed: make(chan struct{}), onClose: onClose, Turn: noTurn{},
 	}
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
@@ -124,6 +141,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
 	if err != nil {
+		c.Turn.Release()
 		c.readCloseReason.CompareAndSwap(uint32(StillOpen), uint32(CloseReasonOf(err, ReadFailed)))
 	}
 	return n, err
@@ -147,7 +165,11 @@
 			c.inputError = TooLong
 			continue
 		}
+		c.Turn.Release()
 		n, err := c.readNetwork(space)
+		if n > 0 {
+			c.Turn.Acquire()
+		}
 		switch {
 		case n > 0 && !c.CheckPeer():
 			c.traffic.Discarded.Add(int64(n))
