--- a/cmd/robinmast/badclients_test.go
+++ b/cmd/robinmast/badclients_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"io"
@@ -275,13 +276,13 @@
 func playGoodClients(t *testing.T, addr string, o *badOutcome) {
 	t.Helper()
 	var mu sync.Mutex
-	var open, dispatchers sync.WaitGroup
+	var dispatchers sync.WaitGroup
 	record := func(delay time.Duration, a testplatform.Answer, err error) {
 		mu.Lock()
 		defer mu.Unlock()
 		o.sent++
 		switch {
-		case err != nil || delay > answerGiveUp:
+		case err != nil:
 			o.lost++
 			return
 		case delay > goodTimeout+answerSlack:
@@ -298,6 +299,7 @@
 	for d := range goodDispatchers {
 		dispatchers.Go(func() {
 			var client *testplatform.Client
+			var open sync.WaitGroup
 			for i, began := 0, time.Now(); time.Since(began) < *badTime; i++ {
 				time.Sleep(time.Until(began.Add(time.Duration(i) * goodInterval)))
 				if client == nil || !client.Usable() {
@@ -314,23 +316,19 @@
 				}
 				sentAt := time.Now()
 				open.Go(func() {
-					a, err := c.Call(q)
+					ctx, cancel := context.WithTimeout(context.Background(), answerGiveUp)
+					defer cancel()
+					a, err := c.Do(ctx, q)
 					record(time.Since(sentAt), a, err)
 				})
 			}
-			answered := make(chan struct{})
-			go func() { open.Wait(); close(answered) }()
-			select {
-			case <-answered:
-			case <-time.After(answerGiveUp): // the rest count as lost
-			}
+			open.Wait()
 			if client != nil {
 				client.Close()
 			}
 		})
 	}
 	dispatchers.Wait()
-	open.Wait()
 }
 
 // buildProgram builds the node's program and returns its path.
--- a/internal/standin/badclients/badclients.go
+++ b/internal/standin/badclients/badclients.go
@@ -135,11 +135,11 @@
 		if _, err := c.conn.Write(m[:len(m)/2]); err != nil {
 			return err
 		}
-		return c.discardAnswers()
+		return discardAnswers(c.conn)
 	case Connects:
 		return nil
 	case Silent:
-		return c.discardAnswers()
+		return discardAnswers(c.conn)
 	case NewKeys, NewItems:
 		return c.sendInWindow()
 	case NoReader:
@@ -147,20 +147,23 @@
 	case LeavesUnread, LeavesClosed:
 		return c.leave(ctx)
 	default:
-		go func() { _ = c.discardAnswers() }()
+		go discardInBackground(c.conn)
 		return c.flood(c.message)
 	}
 }
 
-// discardAnswers reads until the connection ends.
-func (c *client) discardAnswers() error {
-	_, err := io.Copy(io.Discard, c.conn)
+// discardAnswers reads until a connection ends.
+func discardAnswers(conn net.Conn) error {
+	_, err := io.Copy(io.Discard, conn)
 	return err
 }
 
+// discardInBackground reads until a connection ends, for a client that only writes.
+func discardInBackground(conn net.Conn) { _ = discardAnswers(conn) }
+
 // writeSlowly writes large requests byte by byte.
 func (c *client) writeSlowly(ctx context.Context) error {
-	go func() { _ = c.discardAnswers() }()
+	go discardInBackground(c.conn)
 	for {
 		m := c.largeRequest()
 		for i := range m {
@@ -190,12 +193,12 @@
 
 // sendInWindow writes valid requests without pause, up to maxOpen unanswered ones at a time.
 func (c *client) sendInWindow() error {
-	window, ended := make(chan struct{}, maxOpen), make(chan struct{})
+	conn, window, ended := c.conn, make(chan struct{}, maxOpen), make(chan struct{})
 	go func() {
 		defer close(ended)
 		p, partial := make([]byte, 16<<10), 0
 		for {
-			n, err := c.conn.Read(p)
+			n, err := conn.Read(p)
 			if err != nil {
 				return
 			}
