front: a withdrawal does not wait for a turn, and a turn outlasts a read

Cause: a reader gave back its turn after each request and at the end of each read, and could so wait for its next turn between a request and its withdrawal. The request was queued and run meanwhile. Change: a withdrawal of an open request is handled without a new turn, a reader keeps its turn while input is available, and gives it back before the sink only if it has no room.

Evidence: TestWithdrawalDoesNotWaitForATurn fails without the exception (3 requests open while their readers wait).

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -88,7 +88,7 @@
 	if len(cmd.Args) > 1 {
 		tag = cmd.Args[1]
 	}
-	if c.turn.charge(messageCost + len(cmd.Raw)) {
+	if c.turn.charge(messageCost+len(cmd.Raw), c.withdraws(cmd.Args)) {
 		c.CheckPeer()
 	}
 	switch string(cmd.Args[0]) {
@@ -107,6 +107,21 @@
 	}
 }
 
+// withdraws reports whether a message withdraws an open request. It waits for no turn: the request would be run meanwhile.
+// There are at most maxOpenRequests of them.
+func (c *client) withdraws(args [][]byte) bool {
+	if len(args) < 2 || string(args[0]) != "RPC.CANCEL" {
+		return false
+	}
+	tag, err := parseTag(args[1])
+	if err != nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[tag] != nil
+}
+
 // waitWithoutTurn calls wait, which may wait for something other than this connection, and lets other readers go on
 // meanwhile.
 func (c *client) waitWithoutTurn(wait func()) {
@@ -165,7 +180,9 @@
 	x := exchange.New(c.server.requestCounters, c, tag, call)
 	c.open[tag] = x
 	c.mu.Unlock()
-	c.turn.Release() // the sink may have to wait for memory
+	if !c.server.sink.HasRoom(x) { // it waits for memory
+		c.turn.Release()
+	}
 	c.server.sink.Arrived(x)
 	c.turn.Acquire()
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -60,6 +60,8 @@
 	// Arrived delivers a request that was read. It may wait until the sink has memory for it;
 	// meanwhile nothing more is read from its connection.
 	Arrived(*exchange.Exchange)
+	// HasRoom reports whether Arrived would take a request without waiting.
+	HasRoom(*exchange.Exchange) bool
 	// CallerGone notifies that a request was cancelled by its dispatcher or that its
 	// connection closed. It must not block, and may precede the end of Arrived.
 	CallerGone(*exchange.Exchange)
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -621,3 +621,29 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// Guards against work for nobody: a reader whose turn ended between a request and its withdrawal left the request open
+// until its next turn, so that the node queued and ran what had been withdrawn at once, and refused others.
+func TestWithdrawalDoesNotWaitForATurn(t *testing.T) {
+	const floods, pairs = 8, 100
+	b := startServer(t, nil)
+	b.sink.paced = true
+	for range floods {
+		d := b.dial(t)
+		var text []byte
+		for tag := range pairs {
+			text = append(text, standin.EncodeMessage("RPC.CALL", fmt.Sprint(tag+1), "read", safeFields, string(make([]byte, maxBodyBytes)))...)
+			text = append(text, standin.EncodeMessage("RPC.CANCEL", fmt.Sprint(tag+1))...)
+		}
+		go func() { _, _ = d.Write(text) }()
+	}
+	standin.Eventually(t, "readers that wait", func() bool { return b.ReadWaits() >= floods })
+	for range 20 {
+		time.Sleep(5 * time.Millisecond)
+		if open := b.requestCounters.OpenRequests(); open > 0 {
+			t.Fatalf("%d requests are open while their readers wait", open)
+		}
+		b.sink.batch.Add(1)
+		b.BatchHandled()
+	}
+}
--- a/internal/front/harness_test.go
+++ b/internal/front/harness_test.go
@@ -57,6 +57,12 @@
 	}
 }
 
+func (r *recordingSink) HasRoom(*exchange.Exchange) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gate == nil
+}
+
 func (r *recordingSink) CallerGone(x *exchange.Exchange) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/front/turns.go
+++ b/internal/front/turns.go
@@ -155,10 +155,10 @@
 	}
 }
 
-// charge adds the cost of a message to the turn. If the turn has cost enough it asks for another one before, and
-// reports that it may have waited.
-func (t *readTurn) charge(cost int) (waited bool) {
-	if t.cost >= maxTurnCost {
+// charge adds the cost of a message to the turn. If the turn has cost enough it asks for another one before, unless the
+// message must not wait, and reports that it may have waited.
+func (t *readTurn) charge(cost int, mustNotWait bool) (waited bool) {
+	if t.cost >= maxTurnCost && !mustNotWait {
 		t.Release()
 		t.Acquire()
 		waited = true
@@ -167,6 +167,9 @@
 	return waited
 }
 
+// Held reports whether the turn is held.
+func (t *readTurn) Held() bool { return t.held }
+
 // Release ends the turn. It does nothing if it is not held.
 func (t *readTurn) Release() {
 	if !t.held {
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -100,8 +100,15 @@
 // Arrived delivers a request that was read. It waits while too much input waits for the
 // loop, so that only the reader of a connection may call it.
 func (n *Node) Arrived(x *exchange.Exchange) {
-	size := eventOverheadBytes + len(x.Body) + len(x.Unique) + len(x.Item)
-	n.post(event{kind: requestArrived, x: x, charged: n.intake.admit(size)})
+	n.post(event{kind: requestArrived, x: x, charged: n.intake.admit(arrivalSize(x))})
+}
+
+// HasRoom reports whether Arrived would take a request without waiting for the loop.
+func (n *Node) HasRoom(x *exchange.Exchange) bool { return n.intake.hasRoom(arrivalSize(x)) }
+
+// arrivalSize returns the bytes that a request takes while it waits for the loop.
+func arrivalSize(x *exchange.Exchange) int {
+	return eventOverheadBytes + len(x.Body) + len(x.Unique) + len(x.Item)
 }
 
 // CallerGone notifies the node that nobody waits for a request any more.
--- a/internal/node/intake.go
+++ b/internal/node/intake.go
@@ -53,6 +53,16 @@
 	return charged
 }
 
+// hasRoom reports whether input of this size fits now.
+func (k *intake) hasRoom(size int) bool {
+	charge := min(int64(size), k.limit)
+	if !k.bytes.TryAcquire(charge) {
+		return false
+	}
+	k.bytes.Release(charge)
+	return true
+}
+
 // release returns bytes that admit has charged.
 func (k *intake) release(charged int64) {
 	if charged > 0 {
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -110,13 +111,15 @@
 type Turn interface {
 	Acquire() // waits until it is granted; does nothing if it is held
 	Release() // does nothing if it is not held
+	Held() bool
 }
 
 // noTurn is a Turn that is always granted.
 type noTurn struct{}
 
-func (noTurn) Acquire() {}
-func (noTurn) Release() {}
+func (noTurn) Acquire()   {}
+func (noTurn) Release()   {}
+func (noTurn) Held() bool { return false }
 
 // New wraps a connection and starts its writer goroutine. onClose is called once, when the connection is
 // closed, by the goroutine that closed it; it may be nil.
@@ -165,11 +168,7 @@
 			c.inputError = TooLong
 			continue
 		}
-		c.Turn.Release()
-		n, err := c.readNetwork(space)
-		if n > 0 {
-			c.Turn.Acquire()
-		}
+		n, err := c.readInTurn(space)
 		switch {
 		case n > 0 && !c.CheckPeer():
 			c.traffic.Discarded.Add(int64(n))
@@ -186,6 +185,28 @@
 	return n, nil
 }
 
+// readInTurn reads once from the network. The reader keeps its turn if input is available, so that messages that belong
+// together are handled together, and gives it back before it waits.
+func (c *Conn) readInTurn(space []byte) (int, error) {
+	if c.Turn.Held() && closePlan(c.plan.Load()) == noClose && c.CloseReason() == StillOpen {
+		n, err := c.readAvailable(space)
+		switch {
+		case n > 0:
+			return n, nil
+		case err != errNoInput && err != io.EOF: // the kernel reports an error once
+			reason := CloseReasonOf(err, ReadFailed)
+			c.Abort(reason)
+			return 0, &Error{Reason: reason, Cause: err}
+		}
+	}
+	c.Turn.Release()
+	n, err := c.readNetwork(space)
+	if n > 0 {
+		c.Turn.Acquire()
+	}
+	return n, err
+}
+
 // queueInput queues what was read up to the first byte that breaks the framing, and returns the reason to
 // close the connection if there is one.
 func (c *Conn) queueInput(p []byte) CloseReason {
