front: a permit to read allows a bounded number of reads; permits take the field's name

stream asks for the descriptor's raw connection at each use again: took it once in New, so that the interruptions of TestCloseIfIdleSurvivesRecheck and TestStopLingeringLeavesNoInputUnread were no longer called, and these tests checked nothing.

'Turn' was this project's word; a permit that a scheduler grants is the field's. RepeatedNames is RepeatedTxns.

--- a/cmd/robinmast/counters.go
+++ b/cmd/robinmast/counters.go
@@ -56,7 +56,7 @@
 			"cpu", cpu, "max_rss_kb", usage.Maxrss, "heap_kb", m.HeapAlloc>>10, "from_os_kb", m.Sys>>10,
 			"gc", m.NumGC, "goroutines", runtime.NumGoroutine(), "descriptors", descriptors(),
 			"module_resets", p.node.ModuleResets.Load()),
-		slog.Group("keys", "misused", p.node.KeyConflicts.Load(), "repeated_ids", p.node.RepeatedNames.Load()),
+		slog.Group("keys", "misused", p.node.KeyConflicts.Load(), "repeated_ids", p.node.RepeatedTxns.Load()),
 	}
 	if calls := p.dependency; calls != nil {
 		args = append(args, slog.Group("below",
--- a/cmd/robinmast/serve.go
+++ b/cmd/robinmast/serve.go
@@ -116,7 +116,7 @@
 	}
 	p.front = front.New(front.Config{
 		Settings: cfg.nodeSettings, Names: cfg.names, MaxConns: max(sockets, 1),
-		OutBytes: memory / outBufferPart, SetupCPUShare: setupCPU, ReadTurns: runtime.GOMAXPROCS(0), Log: log,
+		OutBytes: memory / outBufferPart, SetupCPUShare: setupCPU, ReadersAtOnce: runtime.GOMAXPROCS(0), Log: log,
 	}, p.node, p.requests)
 	p.pool = pool.New(cfg.Pool, p.node, log)
 	if cfg.iniConfig.Shedding.Enabled { // the node's own reconnects and retries add to an overload too
--- a/internal/front/accept.go
+++ b/internal/front/accept.go
@@ -48,8 +48,8 @@
 			if l.ctx.Err() != nil { // cancelled while it waited
 				cl.Abort(stream.ClosedLocally)
 			}
-			// Connections that come without pause would otherwise be accepted for a whole time slice, each with goroutines
-			// that stand before the sink's in the scheduler's queue.
+			// Without this, connections that come without pause are accepted for a whole time slice, and the goroutines of
+			// each run before the sink's loop.
 			runtime.Gosched()
 			return cl, nil
 		case errors.Is(err, net.ErrClosed):
@@ -196,8 +196,8 @@
 	cl := &client{server: s, open: map[uint64]*exchange.Exchange{}, lastUsed: time.Now()}
 	cl.Conn = stream.New(c, &stream.RESP{}, s.limits, &s.Traffic, cl.onClose)
 	cl.AnswersPending, cl.OnDescriptorClosed = cl.hasOpen, cl.onDescriptorClosed
-	cl.turn = s.readTurns.newTurn()
-	cl.Turn = cl.turn
+	cl.permit = s.readScheduler.newPermit()
+	cl.Permit = cl.permit
 	s.mu.Lock()
 	s.clients[cl] = struct{}{}
 	finAnnounced, draining := s.finAnnounced, s.draining
@@ -226,6 +226,6 @@
 func (s *Server) redconClosed(conn redcon.Conn, _ error) {
 	if c, ok := conn.Context().(*client); ok {
 		c.Abort(stream.BadFraming)
-		c.turn.Release()
+		c.permit.Release()
 	}
 }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -15,7 +15,7 @@
 )
 
 // client is one dispatcher's connection with the requests that are open on it, by tag. Only its reader ever waits:
-// for its turn to handle input, with a health check for admission, and with a request until the sink has memory for it.
+// for a permit to handle input, with a health check for admission, and with a request until the sink has memory for it.
 type client struct {
 	*stream.Conn
 	server *Server
@@ -27,7 +27,7 @@
 	finSentAt time.Time                     // when FIN was sent on it, so that no new request comes
 	closedAt  time.Time                     // when it was closed
 
-	turn *readTurn
+	permit *readPermit
 }
 
 // Write discards what redcon itself sends, which is only replies to broken framing. Those connections are closed
@@ -47,7 +47,7 @@
 
 // onClose abandons the requests that were open when the connection closed, and logs abnormal reasons.
 func (c *client) onClose(reason stream.CloseReason) {
-	c.turn.cancel()
+	c.permit.cancel()
 	c.mu.Lock()
 	open := c.open
 	c.open, c.closedAt = nil, time.Now()
@@ -88,9 +88,10 @@
 	if len(cmd.Args) > 1 {
 		tag = cmd.Args[1]
 	}
-	if c.turn.charge(messageCost+len(cmd.Raw), c.withdraws(cmd.Args)) {
-		c.CheckPeer()
+	if c.permit.usedUp() && !c.withdraws(cmd.Args) {
+		c.waitWithoutPermit(func() {})
 	}
+	c.permit.charge(messageCost + len(cmd.Raw))
 	switch string(cmd.Args[0]) {
 	case "RPC.CALL":
 		c.call(tag, cmd.Args)
@@ -107,8 +108,8 @@
 	}
 }
 
-// withdraws reports whether a message withdraws an open request. It waits for no turn: the request would be run meanwhile.
-// There are at most maxOpenRequests of them.
+// withdraws reports whether a message withdraws an open request. Such a message, of which maxOpenRequests can come in a row,
+// does not wait for a permit: the request would be queued and run meanwhile.
 func (c *client) withdraws(args [][]byte) bool {
 	if len(args) < 2 || string(args[0]) != "RPC.CANCEL" {
 		return false
@@ -122,12 +123,12 @@
 	return c.open[tag] != nil
 }
 
-// waitWithoutTurn calls wait, which may wait for something other than this connection, and lets other readers go on
-// meanwhile.
-func (c *client) waitWithoutTurn(wait func()) {
-	c.turn.Release()
+// waitWithoutPermit releases the permit, calls wait, which may wait for something other than this connection, and acquires
+// the permit again.
+func (c *client) waitWithoutPermit(wait func()) {
+	c.permit.Release()
 	wait()
-	c.turn.Acquire()
+	c.permit.Acquire()
 	c.CheckPeer()
 }
 
@@ -181,10 +182,10 @@
 	c.open[tag] = x
 	c.mu.Unlock()
 	if !c.server.sink.HasRoom(x) { // it waits for memory
-		c.turn.Release()
+		c.permit.Release()
 	}
 	c.server.sink.Arrived(x)
-	c.turn.Acquire()
+	c.permit.Acquire()
 }
 
 // rejecter replies to a request that was rejected before it became open.
@@ -227,7 +228,7 @@
 		return
 	}
 	if c.server.limiter != nil { // only this connection's reader waits: health checks come on a connection of their own
-		c.waitWithoutTurn(func() { c.server.awaitAdmission(context.Background(), connlimit.HealthCheck) })
+		c.waitWithoutPermit(func() { c.server.awaitAdmission(context.Background(), connlimit.HealthCheck) })
 	}
 	start := time.Now()
 	defer c.server.chargeAdmission(connlimit.HealthCheck, start)
--- a/internal/front/close_test.go
+++ b/internal/front/close_test.go
@@ -432,7 +432,7 @@
 	}
 }
 
-// Guards against runs for nobody: a client reset its connection with much still unread, and the requests that the kernel
+// Guards against running requests whose caller is gone: a client reset its connection with much still unread, and the requests that the kernel
 // held were read and passed on all the same.
 func TestUnreadRequestsOfAResetConnectionAreDropped(t *testing.T) {
 	const unread = 25 // beside the first request, with bodies that take far more than the input ring
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -78,7 +78,7 @@
 	MaxConns      int            // connections open at once, 0 = no limit; more wait to be accepted
 	OutBytes      int64          // bytes of memory of all output rings together
 	SetupCPUShare float64        // share of a core for new connections and health checks, 0 = no limit
-	ReadTurns     int            // connections whose input is handled at a time, 0 = one
+	ReadersAtOnce int            // connections whose input is handled at a time, 0 = one
 	Log           *slog.Logger
 }
 
@@ -121,7 +121,7 @@
 
 	stopAccepting atomic.Bool // StopListening was called
 
-	readTurns *readTurns
+	readScheduler *readScheduler
 
 	started   time.Time
 	limiterMu sync.Mutex
@@ -148,7 +148,7 @@
 	if cfg.SetupCPUShare > 0 {
 		s.limiter = connlimit.New(0, cfg.SetupCPUShare)
 	}
-	s.readTurns = newReadTurns(cfg.ReadTurns, sink)
+	s.readScheduler = newReadScheduler(cfg.ReadersAtOnce, sink)
 	s.healthy.Store(true)
 	s.idleTimeout.Store(int64(cfg.Settings.MaxIdleTimeout))
 	return s
@@ -173,13 +173,13 @@
 }
 
 // BatchHandled notifies the server that its sink has handled a batch. It reports whether input waits for the next one.
-func (s *Server) BatchHandled() (waiting bool) { return s.readTurns.renew() }
+func (s *Server) BatchHandled() (waiting bool) { return s.readScheduler.renew() }
 
 // BatchesEnded notifies the server that its sink handles no further batch.
-func (s *Server) BatchesEnded() { s.readTurns.unlimit() }
+func (s *Server) BatchesEnded() { s.readScheduler.unlimit() }
 
 // ReadWaits returns how many times input had to wait for other connections' input.
-func (s *Server) ReadWaits() int64 { return s.readTurns.waits.Load() }
+func (s *Server) ReadWaits() int64 { return s.readScheduler.waits.Load() }
 
 // Serve accepts connections from ln until ctx is cancelled or StopListening is called, and then returns nil.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -527,8 +527,8 @@
 // Guards against good clients that wait behind bad ones: between two batches of the sink all connections together pass on
 // a bounded number of messages, however many they are, and of those that wait the one that passed on least goes first.
 // Batches are asked for while any waits.
-func TestConnectionsShareTheMessagesOfABatch(t *testing.T) {
-	const floods, perBatch = 20, (batchBudget + maxTurnCost) / messageCost
+func TestConnectionsShareTheBudgetOfABatch(t *testing.T) {
+	const floods, perBatch = 20, (batchBudget + readQuantum) / messageCost
 	b := startServer(t, nil)
 	other := b.dial(t)
 	other.Send("RPC.HEALTH", "99", "")
@@ -555,8 +555,8 @@
 			t.Fatalf("%d messages were passed on in batch %d, at most %d may be", n-before, batch, perBatch)
 		}
 		before = read()
-		everyOneHadATurn := batch > floods*maxTurnCost/batchBudget+1
-		if everyOneHadATurn {
+		everyoneWasGranted := batch > floods*readQuantum/batchBudget+1
+		if everyoneWasGranted {
 			waits := b.ReadWaits()
 			other.Send("RPC.HEALTH", fmt.Sprint(batch), "")
 			standin.Eventually(t, "the health check waits", func() bool { return b.ReadWaits() > waits })
@@ -565,7 +565,7 @@
 		if !b.BatchHandled() {
 			t.Fatalf("after %d batches no reader waits", batch)
 		}
-		if !everyOneHadATurn {
+		if !everyoneWasGranted {
 			continue
 		}
 		if got := other.Receive(); got != fmt.Sprintf("%d GREEN  ", batch) {
@@ -576,8 +576,8 @@
 	standin.Eventually(t, "all messages once no batch comes", func() bool { return read() == floods*4*messagesPerBatch })
 }
 
-// Guards against memory of connections that are gone: a reader that waits for its turn ends when its connection closes,
-// without a batch.
+// Guards against memory of closed connections: a reader that waits for a permit ends when its connection closes, without a
+// batch.
 func TestReaderOfAClosedConnectionDoesNotWait(t *testing.T) {
 	b := startServer(t, nil)
 	b.sink.paced = true
@@ -598,14 +598,14 @@
 	}
 	b.AbortAll()
 	standin.Eventually(t, "the end of the readers", func() bool {
-		b.readTurns.mu.Lock()
-		defer b.readTurns.mu.Unlock()
-		return b.Conns() == 0 && b.readTurns.queue.Waiting() == 0
+		b.readScheduler.mu.Lock()
+		defer b.readScheduler.mu.Unlock()
+		return b.Conns() == 0 && b.readScheduler.queue.Waiting() == 0
 	})
 }
 
 // A reader that waits for the sink to have memory does not keep other connections' readers from going on.
-func TestReaderThatWaitsForTheSinkHoldsNoTurn(t *testing.T) {
+func TestReaderThatWaitsForTheSinkHoldsNoPermit(t *testing.T) {
 	gate := make(chan struct{})
 	b := startServer(t, func(s *Server) { s.sink.(*recordingSink).gate = gate })
 	blocked, other := b.dial(t), b.dial(t)
@@ -622,9 +622,9 @@
 	}
 }
 
-// Guards against work for nobody: a reader whose turn ended between a request and its withdrawal left the request open
-// until its next turn, so that the node queued and ran what had been withdrawn at once, and refused others.
-func TestWithdrawalDoesNotWaitForATurn(t *testing.T) {
+// Guards against running what was withdrawn at once, and refusing others for it: a reader that had used up its permit
+// between a request and its withdrawal left the request open until it was granted another one.
+func TestWithdrawalDoesNotWaitForAPermit(t *testing.T) {
 	const floods, pairs = 8, 100
 	b := startServer(t, nil)
 	b.sink.paced = true
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -24,7 +24,7 @@
 		n.running++
 		req.running, req.runsAtStart, req.startedAt = true, n.running, n.now
 		if h.isPoolUp {
-			if !req.x.Safe && h.cfg.Settings.Classes[req.x.Class].Effect == rules.Unsafe {
+			if h.cfg.Settings.Classes[req.x.Class].Effect == rules.Unsafe {
 				h.recentRuns.add(req.x.Txn, h.now+h.recentRunTime)
 			}
 			h.startRun(req)
--- a/internal/node/intake_test.go
+++ b/internal/node/intake_test.go
@@ -176,7 +176,7 @@
 
 // Each batch is reported to the server, whose readers wait for it, and is followed by another while any still waits. The
 // end of the loop is reported too: nothing hangs at the exit.
-func TestServerIsToldOfBatches(t *testing.T) {
+func TestServerIsNotifiedOfBatches(t *testing.T) {
 	r := newRig(t, defaultSettings(), true)
 	for _, waiting := range []bool{true, false, true} {
 		r.readersWait = waiting
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,9 +75,9 @@
 
 // Node is one node's loop. Its exported methods may be called by any goroutine.
 type Node struct {
-	ModuleResets  atomic.Int64 // times that the module panicked and was replaced
-	KeyConflicts  atomic.Int64 // requests whose idempotency key belongs to another request
-	RepeatedNames atomic.Int64 // requests that failed since their transaction name is that of another one
+	ModuleResets atomic.Int64 // times that the module panicked and was replaced
+	KeyConflicts atomic.Int64 // requests whose idempotency key belongs to another request
+	RepeatedTxns atomic.Int64 // requests that failed since their transaction name is that of another one
 
 	cfg        Config
 	front      Front
--- a/internal/node/recentruns.go
+++ b/internal/node/recentruns.go
@@ -25,7 +25,7 @@
 		r.expires = map[string]time.Duration{}
 	}
 	if len(r.oldest) >= maxRecentRuns {
-		r.forgetOldest()
+		r.evictOldest()
 	}
 	r.expires[name] = expires
 	r.oldest = append(r.oldest, recentRun{name, expires})
@@ -43,12 +43,12 @@
 // removeExpired forgets the names that were to be found until now at most.
 func (r *recentRuns) removeExpired(now time.Duration) {
 	for len(r.oldest) > 0 && r.oldest[0].expires <= now {
-		r.forgetOldest()
+		r.evictOldest()
 	}
 }
 
-// forgetOldest forgets the name that was added first.
-func (r *recentRuns) forgetOldest() {
+// evictOldest forgets the name that was added first.
+func (r *recentRuns) evictOldest() {
 	first := r.oldest[0]
 	if r.expires[first.name] == first.expires {
 		delete(r.expires, first.name)
--- a/internal/node/recentruns_test.go
+++ b/internal/node/recentruns_test.go
@@ -26,8 +26,8 @@
 		r.advance(5 * time.Second)
 		again := r.send(2, withTxn(first.Txn))
 		r.wantAnswer(again, exchange.Failed, "")
-		if len(r.started) != 1 || r.RepeatedNames.Load() != 1 {
-			t.Errorf("client left %v: runs %v, %d repeated names", left, r.started, r.RepeatedNames.Load())
+		if len(r.started) != 1 || r.RepeatedTxns.Load() != 1 {
+			t.Errorf("client left %v: runs %v, %d repeated names", left, r.started, r.RepeatedTxns.Load())
 		}
 		r.wantEmpty()
 	}
--- a/internal/node/requests.go
+++ b/internal/node/requests.go
@@ -48,7 +48,7 @@
 	}
 	// The worker pool could not distinguish two open requests of one name, and a run of that name may be over already.
 	if _, open := n.byTxn[x.Txn]; open || n.recentRuns.contains(x.Txn) {
-		n.RepeatedNames.Add(1)
+		n.RepeatedTxns.Add(1)
 		x.Answer(exchange.Answer{Kind: exchange.Failed})
 		return
 	}
--- a/internal/resultcache/cache_test.go
+++ b/internal/resultcache/cache_test.go
@@ -91,7 +91,7 @@
 	c.wantResult(t, "newer", "second")
 }
 
-// A late end that leaves the record of a later run is counted, and its request is told that no result is stored.
+// A late end that leaves the record of a later run is counted, and reports that no result is stored.
 func TestLateEndIsCounted(t *testing.T) {
 	c := openTestCache(t)
 	earlier, newer := keyedRun("earlier", 0), keyedRun("newer", 2*testWindow)
--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -184,11 +184,12 @@
 // wasReset reports whether the peer has reset the connection. One that only closed its side, and may read its answers,
 // has not.
 func (c *Conn) wasReset() bool {
-	if c.raw == nil {
+	raw, err := c.rawConn()
+	if err != nil {
 		return false
 	}
 	reset := false
-	err := c.raw.Control(func(fd uintptr) {
+	err = raw.Control(func(fd uintptr) {
 		state := []unix.PollFd{{Fd: int32(fd)}} // errors are reported without being asked for
 		n, err := unix.Poll(state, 0)
 		reset = err == nil && n == 1 && state[0].Revents&(unix.POLLERR|unix.POLLHUP) != 0
@@ -244,13 +245,23 @@
 	return true
 }
 
+// rawConn returns the descriptor of the connection. The error is errNoInput if it has none.
+func (c *Conn) rawConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errNoInput
+	}
+	return sc.SyscallConn()
+}
+
 // readAvailable reads the input that is available, without waiting. It returns errNoInput if there is none.
 func (c *Conn) readAvailable(p []byte) (n int, err error) {
-	if c.raw == nil {
-		return 0, errNoInput
+	raw, err := c.rawConn()
+	if err != nil {
+		return 0, err
 	}
 	var failed error
-	err = c.raw.Read(func(fd uintptr) bool {
+	err = raw.Read(func(fd uintptr) bool {
 		for {
 			if n, failed = syscall.Read(int(fd), p); failed != syscall.EINTR {
 				return true
--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -13,7 +13,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"robinmast/rules"
@@ -65,7 +64,6 @@
 // other methods are safe for concurrent use.
 type Conn struct {
 	net.Conn
-	raw             syscall.RawConn // of Conn, nil = none
 	traffic         *Traffic
 	limits          Limits
 	frame           Framer
@@ -83,10 +81,9 @@
 	AnswersPending func() bool
 	// OnDescriptorClosed, if set, is called once the descriptor is closed.
 	OnDescriptorClosed func()
-	// Turn, if set, is held by the reader while it handles what it has read: it is acquired after each read from the
-	// network and released before the next one, so that a reader which waits for input does not hold it. It is set
-	// before the first Read.
-	Turn          Turn
+	// Permit, if set, is held by the reader while it handles what it has read. It is acquired after a read from the
+	// network and released before the reader waits for input. It is set before the first Read.
+	Permit        Permit
 	plan          atomic.Uint32 // a closePlan
 	recheck       chan struct{} // signalled when the plan, or a condition it waits for, has changed
 	lingerStopped atomic.Bool
@@ -106,20 +103,21 @@
 	onClose          func(CloseReason)
 }
 
-// Turn is a reader's permission to handle input, of which there are fewer than readers. Only the reader calls its
+// Permit is a reader's permission to handle input, of which there are fewer than readers. Only the reader calls its
 // methods.
-type Turn interface {
+type Permit interface {
 	Acquire() // waits until it is granted; does nothing if it is held
 	Release() // does nothing if it is not held
-	Held() bool
+	// AllowsRead reports whether it is held and allows one more read of available input, which is counted.
+	AllowsRead() bool
 }
 
-// noTurn is a Turn that is always granted.
-type noTurn struct{}
+// noPermit is a Permit that is always granted.
+type noPermit struct{}
 
-func (noTurn) Acquire()   {}
-func (noTurn) Release()   {}
-func (noTurn) Held() bool { return false }
+func (noPermit) Acquire()         {}
+func (noPermit) Release()         {}
+func (noPermit) AllowsRead() bool { return false }
 
 // New wraps a connection and starts its writer goroutine. onClose is called once, when the connection is
 // closed, by the goroutine that closed it; it may be nil.
@@ -128,12 +126,7 @@
 	s := &Conn{
 		Conn: c, traffic: t, limits: l, frame: frame, in: NewRing(l.ReadBufferBytes), out: NewRing(l.WriteBufferBytes),
 		writerWake: make(chan struct{}, 1), recheck: make(chan struct{}, 1),
-		writerDone: make(chan struct{}), descriptorClosed: make(chan struct{}), onClose: onClose, Turn: noTurn{},
-	}
-	if sc, ok := c.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			s.raw = raw
-		}
+		writerDone: make(chan struct{}), descriptorClosed: make(chan struct{}), onClose: onClose, Permit: noPermit{},
 	}
 	go s.write()
 	return s
@@ -144,7 +137,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
 	if err != nil {
-		c.Turn.Release()
+		c.Permit.Release()
 		c.readCloseReason.CompareAndSwap(uint32(StillOpen), uint32(CloseReasonOf(err, ReadFailed)))
 	}
 	return n, err
@@ -168,7 +161,7 @@
 			c.inputError = TooLong
 			continue
 		}
-		n, err := c.readInTurn(space)
+		n, err := c.readWithPermit(space)
 		switch {
 		case n > 0 && !c.CheckPeer():
 			c.traffic.Discarded.Add(int64(n))
@@ -185,10 +178,10 @@
 	return n, nil
 }
 
-// readInTurn reads once from the network. The reader keeps its turn if input is available, so that messages that belong
-// together are handled together, and gives it back before it waits.
-func (c *Conn) readInTurn(space []byte) (int, error) {
-	if c.Turn.Held() && closePlan(c.plan.Load()) == noClose && c.CloseReason() == StillOpen {
+// readWithPermit reads once from the network. The reader keeps its permit while that allows and input is available, so that
+// a request and its withdrawal are handled together, and releases it before it waits.
+func (c *Conn) readWithPermit(space []byte) (int, error) {
+	if closePlan(c.plan.Load()) == noClose && c.CloseReason() == StillOpen && c.Permit.AllowsRead() {
 		n, err := c.readAvailable(space)
 		switch {
 		case n > 0:
@@ -199,10 +192,10 @@
 			return 0, &Error{Reason: reason, Cause: err}
 		}
 	}
-	c.Turn.Release()
+	c.Permit.Release()
 	n, err := c.readNetwork(space)
 	if n > 0 {
-		c.Turn.Acquire()
+		c.Permit.Acquire()
 	}
 	return n, err
 }
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -449,3 +450,69 @@
 		t.Error("the descriptor is still open")
 	}
 }
+
+// recordingPermit records how it is used.
+type recordingPermit struct {
+	reads     int // that it allows each time it is acquired
+	left      int
+	held      bool
+	acquired  int
+	unheldEnd int // messages that were passed on while it was not held
+}
+
+func (p *recordingPermit) Acquire() {
+	if !p.held {
+		p.held, p.left = true, p.reads
+		p.acquired++
+	}
+}
+
+func (p *recordingPermit) Release() { p.held = false }
+
+func (p *recordingPermit) AllowsRead() bool {
+	p.left--
+	return p.held && p.left >= 0
+}
+
+// A reader handles input with its permit only, keeps that for as many reads of available input as it allows, and does
+// not hold it while it waits for input.
+func TestReaderHoldsItsPermitWhileItHandlesInput(t *testing.T) {
+	const messages = 64
+	for _, reads := range []int{0, 4} {
+		c, peer := pair(t, defaultLimits, &Traffic{}, nil)
+		c.AnswersPending = func() bool { return false }
+		permit := &recordingPermit{reads: reads}
+		c.Permit = permit
+		if _, err := peer.Write(bytes.Repeat([]byte(strings.Repeat("x", 1023)+"\n"), messages)); err != nil {
+			t.Fatal(err)
+		}
+		standin.Eventually(t, "all input", func() bool { return hasInput(t, c.Conn.(*net.TCPConn)) })
+		p, read := make([]byte, 512), 0
+		for read < messages<<10 {
+			n, err := c.Read(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !permit.held {
+				permit.unheldEnd++
+			}
+			read += n
+		}
+		// The input ring takes a message at a time, so that there are about as many reads as messages.
+		most := messages + 1
+		if reads > 0 {
+			most = messages/reads + 1
+		}
+		if permit.unheldEnd > 0 || permit.acquired > most || reads == 0 && permit.acquired < messages/8 {
+			t.Errorf("%d reads allowed: acquired %d times, at most %d may be; input handled without it %d times",
+				reads, permit.acquired, most, permit.unheldEnd)
+		}
+		waiting := make(chan struct{})
+		go func() { _, _ = c.Read(p); close(waiting) }()
+		peer.Close()
+		<-waiting
+		if permit.held {
+			t.Errorf("%d reads allowed: held after the last input", reads)
+		}
+	}
+}
