stream: the deadline of a cancelled close is no failed read

Cause: RecheckClose wakes a reader by a deadline in the past, which may outlast a close that input cancels. A reader that kept its permit took it for a failure of the connection. Change: it reads again, by the read that clears the deadline.

--- a/internal/stream/conn.go
+++ b/internal/stream/conn.go
@@ -186,7 +186,9 @@
 		switch {
 		case n > 0:
 			return n, nil
-		case err != errNoInput && err != io.EOF: // the kernel reports an error once
+		case err == errNoInput || err == io.EOF || errors.Is(err, os.ErrDeadlineExceeded):
+			// readNetwork waits for input, handles the end of it, or clears a deadline that recheckCloseLocked set.
+		default: // the kernel reports an error once
 			reason := CloseReasonOf(err, ReadFailed)
 			c.Abort(reason)
 			return 0, &Error{Reason: reason, Cause: err}
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -516,3 +516,24 @@
 		}
 	}
 }
+
+// Guards against a request that is lost with its connection: the deadline with which RecheckClose wakes a reader outlasted a
+// close that input had cancelled, and a reader that held its permit took it for the failure of its read.
+func TestDeadlineOfACancelledCloseDoesNotEndReading(t *testing.T) {
+	c, peer := pair(t, defaultLimits, &Traffic{}, nil)
+	c.AnswersPending = func() bool { return false }
+	c.Permit = &recordingPermit{reads: 4}
+	p := make([]byte, 64)
+	for _, message := range []string{"one\n", "two\n", "three\n"} {
+		if _, err := peer.Write([]byte(message)); err != nil {
+			t.Fatal(err)
+		}
+		standin.Eventually(t, "input", func() bool { return hasInput(t, c.Conn.(*net.TCPConn)) })
+		if err := c.Conn.SetReadDeadline(time.Unix(1, 0)); err != nil {
+			t.Fatal(err)
+		}
+		if n, err := c.Read(p); err != nil || string(p[:n]) != message {
+			t.Fatalf("read %q, %v; want %q", p[:n], err, message)
+		}
+	}
+}
