stream: a close that input cancels leaves lingering on

Cause: to free a slot the server stops a connection's lingering and then closes it if it is idle. If input cancelled that close, the connection stayed open, and its later close, with answers under way and input unread, was a reset. Found by reading: readers that wait for a permit make such cancelled closes likelier. Evidence: TestCancelledCloseLeavesLingeringOn fails without the change.

--- a/internal/stream/close.go
+++ b/internal/stream/close.go
@@ -213,12 +213,13 @@
 	return n, err
 }
 
-// cancelCloseIfIdle withdraws a planned CloseIfIdle.
+// cancelCloseIfIdle withdraws a planned CloseIfIdle, and a StopLingering that was meant for it.
 func (c *Conn) cancelCloseIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if closePlan(c.plan.Load()) == closeIfIdle {
 		c.plan.Store(uint32(noClose))
+		c.lingerStopped.Store(false)
 	}
 }
 
--- a/internal/stream/conn_test.go
+++ b/internal/stream/conn_test.go
@@ -537,3 +537,29 @@
 		}
 	}
 }
+
+// Guards against answers destroyed by a reset: a connection that was to be closed at once for its descriptor, and stayed open
+// since it had input, did not linger at its later close either.
+func TestCancelledCloseLeavesLingeringOn(t *testing.T) {
+	limits := defaultLimits
+	limits.Linger = time.Minute // longer than the test
+	c, peer := pair(t, limits, &Traffic{}, nil)
+	c.AnswersPending = func() bool { return false }
+	if _, err := peer.Write([]byte("request\n")); err != nil {
+		t.Fatal(err)
+	}
+	standin.Eventually(t, "input", func() bool { return hasInput(t, c.Conn.(*net.TCPConn)) })
+	c.StopLingering()
+	c.CloseIfIdle(IdleClosed)
+	if n, err := c.Read(make([]byte, 64)); n != 8 || err != nil {
+		t.Fatalf("read %d bytes, %v", n, err)
+	}
+	c.Abort(IdleClosed)
+	select {
+	case <-c.WhenClosed():
+		t.Error("the descriptor was closed before the peer had closed its side")
+	case <-time.After(50 * time.Millisecond):
+	}
+	peer.Close()
+	<-c.WhenClosed()
+}
