--- a/cmd/robinmast/badclients_test.go
+++ b/cmd/robinmast/badclients_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -149,43 +148,46 @@
 		`"windowMs":5000`, `"windowMs":60000`, `"cpus":2`, `"cpus":4`).Replace(goodConfig)
 }
 
+// runCounter counts the runs of keyed and unsafe requests, by body.
+type runCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+// work decides the course of a run.
+func (c *runCounter) work(r testplatform.Run) (float64, string, []byte) {
+	work := 1.0
+	if strings.HasPrefix(string(r.Body), "good") {
+		work = goodWorkMillis
+	}
+	if r.Class != "read" {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.runs[string(r.Body)]++
+	}
+	return work, "complete", []byte("did " + r.ID)
+}
+
+// ranTwice returns how many requests ran more than once.
+func (c *runCounter) ranTwice() (count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, runs := range c.runs {
+		if runs > 1 {
+			count++
+		}
+	}
+	return count
+}
+
 // play plays good and bad clients against a node of its own.
 func (p badPlay) play(t *testing.T, binary string) *badOutcome {
 	t.Helper()
-	var mu sync.Mutex
-	runs := map[string]int{} // of keyed and unsafe requests, by body
-	pool, err := testplatform.StartPool(4, 0.2, func(r testplatform.Run) (float64, string, []byte) {
-		work := 1.0
-		if strings.HasPrefix(string(r.Body), "good") {
-			work = goodWorkMillis
-		}
-		if r.Class != "read" {
-			mu.Lock()
-			runs[string(r.Body)]++
-			mu.Unlock()
-		}
-		return work, "complete", []byte("did " + r.ID)
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer pool.Close()
-	members, err := testplatform.StartMembers()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer members.Close()
+	counter := &runCounter{runs: map[string]int{}}
+	pool, members := startPeers(t, 4, 0.2, counter.work)
 	addr := freeAddress(t)
-	dir := t.TempDir()
-	config := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(config, []byte(badClientsConfig(addr, pool.Addr(), members.Addr(), p.memoryMB)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	ini := filepath.Join(dir, "robinmast.ini")
-	if err := os.WriteFile(ini, nil, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	node := startProgram(t, binary, ini, config)
+	config := writeFile(t, badClientsConfig(addr, pool.Addr(), members.Addr(), p.memoryMB))
+	node := startProgram(t, binary, writeFile(t, ""), config)
 	defer node.kill()
 	if !node.ready() {
 		t.Fatalf("did not start: %s", node.out.String())
@@ -200,13 +202,7 @@
 	stopWatching()
 	o.stopTook = node.leave(t)
 	stopBadClients()
-	mu.Lock()
-	defer mu.Unlock()
-	for _, n := range runs {
-		if n > 1 {
-			o.ranTwice++
-		}
-	}
+	o.ranTwice = counter.ranTwice()
 	if o.crashed || testing.Verbose() && *badKinds != "" && o.served < o.sent {
 		t.Logf("log of the node: %s", lastLines(node.out.String(), 12))
 	}
@@ -262,16 +258,6 @@
 	return strings.Join(lines[max(len(lines)-count, 0):], "\n")
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // playGoodClients sends the good clients' requests for badTime and judges their answers.
 func playGoodClients(t *testing.T, addr string, o *badOutcome) {
 	t.Helper()
--- a/cmd/robinmast/kill_test.go
+++ b/cmd/robinmast/kill_test.go
@@ -90,6 +90,35 @@
 	return v
 }
 
+// startPeers starts a worker pool and a membership service, which run until the test ends.
+func startPeers(
+	t *testing.T, cores int, contention float64, work testplatform.Work,
+) (*testplatform.Pool, *testplatform.Members) {
+	t.Helper()
+	pool, err := testplatform.StartPool(cores, contention, work)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = pool.Close() })
+	members, err := testplatform.StartMembers()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = members.Close() })
+	return pool, members
+}
+
+// freeAddress returns a loopback address on which nothing listens now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
 // ready waits until the node has its worker pool; it returns false after ten seconds.
 func (v *restartedNode) ready() bool {
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
@@ -117,22 +146,8 @@
 	binary := filepath.Join(dir, "robinmast")
 	buildInto(t, binary)
 	ran := &executions{runs: map[string]int{}, rnd: rand.New(rand.NewPCG(*killSeed, 2))}
-	pool, err := testplatform.StartPool(8, 0, ran.work)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer pool.Close()
-	members, err := testplatform.StartMembers()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer members.Close()
-	listener, err := net.Listen("tcp", "127.0.0.1:0") // a free port for the node
-	if err != nil {
-		t.Fatal(err)
-	}
-	v := &restartedNode{t: t, binary: binary, dir: dir, addr: listener.Addr().String()}
-	listener.Close()
+	pool, members := startPeers(t, 8, 0, ran.work)
+	v := &restartedNode{t: t, binary: binary, dir: dir, addr: freeAddress(t)}
 	text := strings.NewReplacer("127.0.0.1:8080", v.addr, "127.0.0.1:4400", pool.Addr(), "127.0.0.1:2379", members.Addr(),
 		`"windowMs":5000`, `"windowMs":600000`, `"cpus":2`, `"cpus":8`, `"entryKb":1`, `"entryKb":0.1`, `"aimMs":1000`, `"aimMs":3000`).Replace(goodConfig)
 	path := filepath.Join(dir, "config.json")
--- a/cmd/robinmast/lifecycle_test.go
+++ b/cmd/robinmast/lifecycle_test.go
@@ -86,19 +86,11 @@
 // say, and a membership service, and writes a configuration with their addresses.
 func startEnvironment(t *testing.T, listen string, more ...string) (pool *testplatform.Pool, config string) {
 	t.Helper()
-	pool, err := testplatform.StartPool(8, 0, func(r testplatform.Run) (float64, string, []byte) {
+	pool, members := startPeers(t, 8, 0, func(r testplatform.Run) (float64, string, []byte) {
 		var ms float64
 		fmt.Sscan(string(r.Body), &ms)
 		return ms, "complete", []byte(fmt.Sprintf("%s ran %s", r.ID, r.Body))
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	members, err := testplatform.StartMembers()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { pool.Close(); members.Close() })
 	return pool, writeFile(t, configText(listen, pool.Addr(), members.Addr(), more...))
 }
 
--- a/decide/fairqueue/fairqueue_test.go
+++ b/decide/fairqueue/fairqueue_test.go
@@ -48,18 +48,24 @@
 	s.request(s.finish(longestUse/10 + time.Duration(s.random.Int64N(int64(longestUse*9/10)))))
 }
 
+// addGreedy adds flows that always wait, and lets them go for a number of uses each.
+func (s *simulation) addGreedy(count, uses int) []Flow {
+	flows := make([]Flow, count)
+	for i := range flows {
+		s.request(&flows[i])
+	}
+	for range uses * count {
+		s.greedyUse()
+	}
+	return flows
+}
+
 // A flow that uses at most half of its share waits for the present use only, however many others always wait, and for
 // how long each of their uses takes.
 func TestModestFlowWaitsForOneUse(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := newSimulation(rapid.Uint64().Draw(r, "seed"))
-		greedy := make([]Flow, rapid.IntRange(1, 400).Draw(r, "greedy flows"))
-		for i := range greedy {
-			s.request(&greedy[i])
-		}
-		for range 20 * len(greedy) {
-			s.greedyUse()
-		}
+		greedy := s.addGreedy(rapid.IntRange(1, 400).Draw(r, "greedy flows"), 20)
 		var modest Flow
 		for range 50 {
 			asked := s.now
@@ -85,13 +91,7 @@
 func TestGreedyFlowsShareEqually(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		s := newSimulation(rapid.Uint64().Draw(r, "seed"))
-		flows := make([]Flow, rapid.IntRange(3, 20).Draw(r, "flows"))
-		for i := range flows {
-			s.request(&flows[i])
-		}
-		for range 500 * len(flows) {
-			s.greedyUse()
-		}
+		flows := s.addGreedy(rapid.IntRange(3, 20).Draw(r, "flows"), 500)
 		mean := s.now / time.Duration(len(flows))
 		for i := range flows {
 			if used := s.used[&flows[i]]; used < mean*9/10 || used > mean*11/10 {
