fairqueue: a connection that comes anew has no advantage over one that stays

Change: a flow that joins counts as having used the mean of all.

Evidence: TestJoiningAgainGivesNoCredit fails without it. TestNewFlowWaitsForTwoRounds bounds the wait of a new one.

--- a/decide/fairqueue/fairqueue.go
+++ b/decide/fairqueue/fairqueue.go
@@ -1,8 +1,9 @@
 // Package fairqueue decides which of several flows may use a shared resource next, by decay-usage scheduling (J.
 // Hellerstein, 1993): the one that used it least of late, where use counts half after each half-life. A flow that keeps to
 // less than its share so goes before all that use more, however many they are, and what a flow did not use long ago
-// gives it no credit. Use is in any one unit. The flows together, and each of them, get a budget, which the caller renews,
-// as once for each round of what else needs the resource.
+// gives it no credit. A flow that joins counts as having used the mean of all, so that to leave and join again gives it no
+// credit either. Use is in any one unit. The flows together, and each of them, get a budget, which the caller renews, as
+// once for each round of what else needs the resource.
 //
 // The package does no I/O and reads no clock; times are passed in. A Queue belongs to one goroutine, or to the holder of
 // its caller's lock.
@@ -10,8 +11,8 @@
 // Invariants, checked by the tests: at most the given number of flows go at a time, and none waits while a slot is free and
 // budget left; between two renewals the flows use no more than the budget and one use of each slot, and a flow no more than
 // its own budget and one use; a flow that uses at most half of its share, which is what all get divided by the flows, waits
-// for the present use only, or until the next renewal, however many others wait and whatever they use; flows that always
-// wait get the same, within a tenth.
+// for the present use only, or until the next renewal, however many others wait, join and leave, and whatever they use;
+// flows that always wait get the same, within a tenth.
 package fairqueue
 
 import (
@@ -29,7 +30,7 @@
 	maxSpan = 256 * halfLife
 )
 
-// Flow is one user of the resource. Its zero value has used nothing. A Flow belongs to one Queue.
+// Flow is one user of the resource. It belongs to one Queue, from Join to Leave.
 type Flow struct {
 	Owner any // for the caller, which gets flows from the methods of Queue
 
@@ -67,7 +68,9 @@
 	active    int
 	left      float64       // of the budget; below 0 it is taken from the next one
 	renewal   uint64        // number of the last renewal
-	reference time.Duration // of the weights of the queued flows
+	reference time.Duration // of total and the weights of the queued flows
+	total     float64       // weight of all use, that of flows that have left included
+	flows     int           // that have joined and not left
 	order     uint64        // of the last request
 	queued    flowHeap
 	deferred  []*Flow
@@ -79,6 +82,19 @@
 	return &Queue{bounds: bounds, left: bounds.Budget}
 }
 
+// Join adds a flow. It counts as having used the mean of what all flows used of late, those that have left included.
+func (q *Queue) Join(now time.Duration, f *Flow) {
+	q.moveReference(now)
+	q.flows++
+	f.weight, f.reference = q.total/float64(q.flows), q.reference
+}
+
+// Leave removes a flow and reports whether it waited. One that goes ends its use by Done all the same.
+func (q *Queue) Leave(f *Flow) (waited bool) {
+	q.flows--
+	return q.withdraw(f)
+}
+
 // available reports whether a flow may go.
 func (q *Queue) available() bool { return q.active < q.bounds.Slots && q.left > 0 }
 
@@ -107,8 +123,8 @@
 	heap.Push(&q.queued, f)
 }
 
-// Withdraw takes back the request of a flow and reports whether it waited.
-func (q *Queue) Withdraw(f *Flow) bool {
+// withdraw takes back the request of a flow and reports whether it waited.
+func (q *Queue) withdraw(f *Flow) bool {
 	switch f.state {
 	case queued:
 		heap.Remove(&q.queued, f.position)
@@ -129,7 +145,9 @@
 func (q *Queue) Done(now time.Duration, f *Flow, cost float64) *Flow {
 	q.moveReference(now)
 	q.normalize(f)
-	f.weight += cost * math.Exp2((now-q.reference).Seconds()/halfLife.Seconds())
+	weight := cost * math.Exp2((now-q.reference).Seconds()/halfLife.Seconds())
+	f.weight += weight
+	q.total += weight
 	if f.renewal != q.renewal {
 		f.renewal, f.used = q.renewal, 0
 	}
@@ -181,6 +199,7 @@
 	if now-q.reference <= maxSpan {
 		return
 	}
+	q.total *= math.Exp2((q.reference - now).Seconds() / halfLife.Seconds())
 	q.reference = now
 	for _, f := range q.queued { // their order stays
 		q.normalize(f)
--- a/internal/front/readscheduler.go
+++ b/internal/front/readscheduler.go
@@ -62,6 +62,9 @@
 func (s *readScheduler) newPermit() *readPermit {
 	p := &readPermit{scheduler: s, decided: make(chan struct{}, 1)}
 	p.flow.Owner = p
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Join(s.now(), &p.flow)
 	return p
 }
 
@@ -152,12 +155,12 @@
 }
 
 // cancel lets the reader continue without a permit, if it waits and from now on: its connection is closed, and nobody
-// waits for answers to what it has read. Any goroutine may call it.
+// waits for answers to what it has read. It is called once, by any goroutine.
 func (p *readPermit) cancel() {
 	p.scheduler.mu.Lock()
 	defer p.scheduler.mu.Unlock()
 	p.cancelled = true
-	if p.scheduler.queue.Withdraw(&p.flow) {
+	if p.scheduler.queue.Leave(&p.flow) {
 		p.withdrawn = true
 		p.decided <- struct{}{}
 	}
